--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/lib/src/connection/door.rs
@@ -0,0 +1,129 @@
+//! An entry's choice of the agent that a packet goes to.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::credit::Credit;
+use super::flow::Header;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::notice::Notice;
+use crate::process::reason::Reason;
+use crate::process::tally::Tally;
+use crate::version::backend::Backend;
+use crate::version::manifest::InForce;
+use crate::version::manifest::Manifest;
+
+/// Ranks that an entry tries before it gives up on a suspicion.
+const TRIED_RANKS: usize = 3;
+
+/// Forwarding decisions of one traffic thread of an entry.
+///
+/// It keeps no state that a flow depends on: any door under the same version
+/// sends a flow to an agent that finds the same owner.
+#[derive(Debug)]
+pub struct Door {
+    manifest: Arc<Manifest<InForce>>,
+    credits: HashMap<Name, Credit>,
+    down: HashMap<Name, Notice>,
+    tally: Tally,
+}
+
+/// Where a packet goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The agent's backend server.
+    pub agent: Name,
+    /// The agent's datagram address.
+    pub link: SocketAddr,
+}
+
+impl Door {
+    /// Opens a door under `manifest`.
+    pub fn open(manifest: Arc<Manifest<InForce>>) -> Self {
+        Self { manifest, credits: HashMap::new(), down: HashMap::new(), tally: Tally::default() }
+    }
+
+    /// Puts a later version in force; an earlier one is ignored.
+    pub fn enforce(&mut self, manifest: Arc<Manifest<InForce>>) {
+        if manifest.version() <= self.manifest.version() {
+            return;
+        }
+        self.credits.retain(|name, _| manifest.service_of(name).is_some());
+        self.down.retain(|name, _| manifest.service_of(name).is_some());
+        self.manifest = manifest;
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> u64 {
+        self.manifest.version()
+    }
+
+    /// Chooses the agent for a packet: the flow's home, or the next rank while
+    /// the home is suspected.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if no agent can be named.
+    pub fn forward(&mut self, header: &Header, now: Moment) -> Result<Target, Reason> {
+        let Some(service) = self.manifest.route(header.flow.service).cloned() else {
+            return Err(self.refuse(Reason::NoService));
+        };
+        let key = header.flow.hash();
+        let Some(home) = service.membership.home(key) else {
+            return Err(self.refuse(Reason::NoBackend));
+        };
+        if !self.suspects(&home.name, now) {
+            return Ok(self.send(home, now));
+        }
+        self.tally.add(Reason::Suspected);
+        let ranks = service.membership.ranks(key, TRIED_RANKS);
+        let next = ranks.iter().skip(1).find(|b| !self.suspects(&b.name, now));
+        Ok(self.send(next.copied().unwrap_or(home), now))
+    }
+
+    /// Takes note that `agent` answered.
+    pub fn credit(&mut self, agent: &Name) {
+        if let Some(credit) = self.credits.get_mut(agent) {
+            credit.paid();
+        }
+        self.down.remove(agent);
+    }
+
+    /// Takes in what the agents of a service say about one of them.
+    ///
+    /// It picks a door and no more: agents never place a flow because of it.
+    pub fn notice(&mut self, notice: Notice) {
+        if notice.down {
+            self.down.insert(notice.agent.clone(), notice);
+        } else if self.down.get(&notice.agent).is_some_and(|n| n.stamp < notice.stamp) {
+            self.down.remove(&notice.agent);
+        }
+    }
+
+    /// Returns the counts per reason.
+    pub fn tally(&mut self) -> &mut Tally {
+        &mut self.tally
+    }
+
+    fn suspects(&mut self, agent: &Name, now: Moment) -> bool {
+        let silent = self.credits.get_mut(agent).is_some_and(|c| c.suspected(now));
+        silent || self.down.contains_key(agent)
+    }
+
+    fn send(&mut self, backend: &Backend, now: Moment) -> Target {
+        if !self.credits.contains_key(&backend.name) {
+            self.credits.insert(backend.name.clone(), Credit::default());
+        }
+        if let Some(credit) = self.credits.get_mut(&backend.name) {
+            credit.sent(now);
+        }
+        Target { agent: backend.name.clone(), link: backend.link }
+    }
+
+    fn refuse(&mut self, reason: Reason) -> Reason {
+        self.tally.add(reason);
+        reason
+    }
+}
--- /dev/null
+++ b/lib/src/connection/flows.rs
@@ -0,0 +1,253 @@
+//! The flows that one agent owns, and those it knows the owner of.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::flow::FlowKey;
+use super::lookup::Lookup;
+use super::redirect::Redirect;
+use super::stamp::Stamp;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Flows owned at most by one agent.
+pub const MAX_FLOWS: usize = 65_536;
+/// Lookups open at most.
+pub const MAX_LOOKUPS: usize = 4_096;
+/// Time after which a flow without packets or channels ends.
+pub const IDLE: Duration = Duration::from_secs(300);
+/// Time after which a silent peer is asked again.
+pub const ASK_AGAIN: Duration = Duration::from_millis(200);
+/// Time after which a lookup is given up.
+pub const LOOKUP_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// A flow that this agent owns.
+#[derive(Clone, Debug)]
+pub struct Owned {
+    /// Age of the ownership.
+    pub stamp: Stamp,
+    /// Last packet in either direction.
+    pub used: Moment,
+    /// Channels and requests that keep the flow open.
+    pub pins: u32,
+}
+
+/// What an agent knows of a flow without asking anyone.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Known {
+    /// It owns the flow.
+    Mine,
+    /// Another agent owns it.
+    Other(Name),
+    /// A lookup is under way.
+    Searching,
+    /// Nothing.
+    Unknown,
+}
+
+/// A change of a flow's owner that an agent has to act on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// Nothing to do.
+    Kept,
+    /// This agent's ownership gave way.
+    Yielded,
+    /// The claimant's ownership is younger; its agent has to be told.
+    Refused(Stamp),
+}
+
+/// Flow table of one agent; `P` is a packet as the front end holds it.
+#[derive(Debug)]
+pub struct Flows<P> {
+    owned: HashMap<FlowKey, Owned>,
+    redirects: HashMap<FlowKey, Redirect>,
+    lookups: HashMap<FlowKey, Lookup<P>>,
+}
+
+impl<P> Flows<P> {
+    /// Opens an empty table.
+    pub fn open() -> Self {
+        Self { owned: HashMap::new(), redirects: HashMap::new(), lookups: HashMap::new() }
+    }
+
+    /// Returns what is known of `flow`, and marks it as used.
+    pub fn find(&mut self, flow: &FlowKey, now: Moment) -> Known {
+        if let Some(owned) = self.owned.get_mut(flow) {
+            owned.used = now;
+            return Known::Mine;
+        }
+        if let Some(redirect) = self.redirects.get_mut(flow) {
+            redirect.used = now;
+            return Known::Other(redirect.stamp.owner.clone());
+        }
+        if self.lookups.contains_key(flow) { Known::Searching } else { Known::Unknown }
+    }
+
+    /// Returns the stamp of the flow's owner, if it is known.
+    pub fn stamp(&self, flow: &FlowKey) -> Option<&Stamp> {
+        let owned = self.owned.get(flow).map(|o| &o.stamp);
+        owned.or_else(|| self.redirects.get(flow).map(|r| &r.stamp))
+    }
+
+    /// Takes ownership of a flow.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the table is full.
+    pub fn own(&mut self, flow: FlowKey, stamp: Stamp, now: Moment) -> Result<(), Reason> {
+        if self.owned.len() >= MAX_FLOWS && !self.owned.contains_key(&flow) {
+            return Err(Reason::FlowsFull);
+        }
+        self.redirects.remove(&flow);
+        self.owned.entry(flow).or_insert(Owned { stamp, used: now, pins: 0 });
+        Ok(())
+    }
+
+    /// Remembers another agent as the owner of a flow.
+    pub fn redirect(&mut self, flow: FlowKey, stamp: Stamp, now: Moment) {
+        self.owned.remove(&flow);
+        if self.redirects.len() < MAX_FLOWS || self.redirects.contains_key(&flow) {
+            self.redirects.insert(flow, Redirect { stamp, used: now });
+        }
+    }
+
+    /// Takes in another agent's claim to own `flow`.
+    pub fn claim(&mut self, flow: FlowKey, theirs: &Stamp, now: Moment) -> Change {
+        let known = self.stamp(&flow).cloned();
+        match known {
+            Some(s) if s.owner != theirs.owner && s.prevails(theirs) => Change::Refused(s),
+            _ => {
+                let mine = self.owned.contains_key(&flow);
+                self.redirect(flow, theirs.clone(), now);
+                if mine { Change::Yielded } else { Change::Kept }
+            }
+        }
+    }
+
+    /// Forgets where a flow's owner is if that is `owner`.
+    pub fn forget(&mut self, flow: &FlowKey, owner: &Name) {
+        if self.redirects.get(flow).is_some_and(|r| r.stamp.owner == *owner) {
+            self.redirects.remove(flow);
+        }
+    }
+
+    /// Forgets all redirects to an agent that lost its flows in a restart.
+    pub fn forget_owner(&mut self, owner: &Name) {
+        self.redirects.retain(|_, r| r.stamp.owner != *owner);
+    }
+
+    /// Ends a flow; returns whether this agent owned it.
+    pub fn end(&mut self, flow: &FlowKey) -> bool {
+        self.owned.remove(flow).is_some()
+    }
+
+    /// Keeps a flow open for one more channel or request, or for one less.
+    pub fn pin(&mut self, flow: &FlowKey, up: bool) {
+        if let Some(owned) = self.owned.get_mut(flow) {
+            let pins = owned.pins;
+            owned.pins = if up { pins + 1 } else { pins.saturating_sub(1) };
+        }
+    }
+
+    /// Starts a lookup.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if too many are open.
+    pub fn search(&mut self, flow: FlowKey, lookup: Lookup<P>) -> Result<(), Reason> {
+        if self.lookups.len() >= MAX_LOOKUPS {
+            return Err(Reason::HeldFull);
+        }
+        self.lookups.insert(flow, lookup);
+        Ok(())
+    }
+
+    /// Holds a packet until the lookup of its flow is over.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if too many packets of the flow are held.
+    pub fn hold(&mut self, flow: &FlowKey, packet: P) -> Result<(), Reason> {
+        let lookup = self.lookups.get_mut(flow);
+        let held = lookup.is_some_and(|l| l.hold(packet));
+        if held { Ok(()) } else { Err(Reason::HeldFull) }
+    }
+
+    /// Takes in a peer's answer to a lookup; returns the lookup if it is over.
+    pub fn answer(
+        &mut self,
+        flow: &FlowKey,
+        peer: &Name,
+        owner: Option<Stamp>,
+    ) -> Option<Lookup<P>> {
+        let lookup = self.lookups.get_mut(flow)?;
+        lookup.answer(peer, owner);
+        let over = lookup.is_over();
+        over.then(|| self.lookups.remove(flow)).flatten()
+    }
+
+    /// Gives up waiting for a peer in all lookups; returns those that are over.
+    pub fn give_up(&mut self, peer: &Name) -> Vec<(FlowKey, Lookup<P>)> {
+        self.lookups.values_mut().for_each(|l| l.give_up(peer));
+        self.take_lookups(|l| l.is_over())
+    }
+
+    /// Returns the lookups that have waited too long.
+    pub fn expire_lookups(&mut self, now: Moment) -> Vec<(FlowKey, Lookup<P>)> {
+        self.take_lookups(|l| now.since(l.since) >= LOOKUP_TIMEOUT)
+    }
+
+    /// Returns the peers to ask again, with the flow each is asked for.
+    pub fn ask_again(&mut self, now: Moment) -> Vec<(Name, FlowKey)> {
+        let late = |l: &Lookup<P>| now.since(l.asked) >= ASK_AGAIN;
+        let mut asks = Vec::new();
+        for (flow, lookup) in self.lookups.iter_mut().filter(|(_, l)| late(l)) {
+            lookup.asked = now;
+            asks.extend(lookup.waiting.iter().map(|peer| (peer.clone(), *flow)));
+        }
+        asks.sort();
+        asks
+    }
+
+    /// Ends flows and redirects that nothing has used for [`IDLE`].
+    pub fn expire(&mut self, now: Moment) -> Vec<FlowKey> {
+        // The owner confirms its redirects before they get this old.
+        self.redirects.retain(|_, r| now.since(r.used) < IDLE);
+        let idle = |o: &Owned| o.pins == 0 && now.since(o.used) >= IDLE;
+        let mut ended: Vec<_> =
+            self.owned.iter().filter(|(_, o)| idle(o)).map(|(f, _)| *f).collect();
+        ended.sort();
+        for flow in &ended {
+            self.owned.remove(flow);
+        }
+        ended
+    }
+
+    /// Returns the owned flows that `wanted` selects, with their stamps.
+    pub fn claims(&self, wanted: impl Fn(&FlowKey) -> bool) -> Vec<(FlowKey, Stamp)> {
+        let owned = self.owned.iter().filter(|(f, _)| wanted(f));
+        let mut claims: Vec<_> = owned.map(|(f, o)| (*f, o.stamp.clone())).collect();
+        claims.sort_by_key(|(f, _)| *f);
+        claims
+    }
+
+    /// Returns the owned flows that a planned stop has to hand over.
+    pub fn pinned(&self) -> BTreeSet<FlowKey> {
+        self.owned.iter().filter(|(_, o)| o.pins > 0).map(|(f, _)| *f).collect()
+    }
+
+    /// Returns the numbers of owned flows, redirects and lookups.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        (self.owned.len(), self.redirects.len(), self.lookups.len())
+    }
+
+    fn take_lookups(&mut self, over: impl Fn(&Lookup<P>) -> bool) -> Vec<(FlowKey, Lookup<P>)> {
+        let mut keys: Vec<_> =
+            self.lookups.iter().filter(|(_, l)| over(l)).map(|(f, _)| *f).collect();
+        keys.sort();
+        let take = |f| self.lookups.remove(&f).map(|l| (f, l));
+        keys.into_iter().filter_map(take).collect()
+    }
+}
--- /dev/null
+++ b/lib/src/connection/lookup.rs
@@ -0,0 +1,66 @@
+//! The search for a flow's owner among the peers that may know it.
+
+use std::collections::BTreeSet;
+
+use super::stamp::Stamp;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+
+/// Packets held while one flow is looked for.
+pub const MAX_HELD: usize = 8;
+
+/// A search under way, with the packets that wait for its end.
+#[derive(Clone, Debug)]
+pub struct Lookup<P> {
+    /// Peers that have not answered.
+    pub waiting: BTreeSet<Name>,
+    /// Packets that wait.
+    pub held: Vec<P>,
+    /// When the search started.
+    pub since: Moment,
+    /// When the silent peers were last asked.
+    pub asked: Moment,
+    /// The best owner found.
+    pub owner: Option<Stamp>,
+    /// Whether a peer that might own the flow could not be asked.
+    pub unsure: bool,
+}
+
+impl<P> Lookup<P> {
+    /// Opens a search among `waiting`.
+    pub fn open(waiting: BTreeSet<Name>, unsure: bool, now: Moment) -> Self {
+        Self { waiting, held: Vec::new(), since: now, asked: now, owner: None, unsure }
+    }
+
+    /// Holds a packet; returns whether there was room.
+    pub fn hold(&mut self, packet: P) -> bool {
+        let room = self.held.len() < MAX_HELD;
+        if room {
+            self.held.push(packet);
+        }
+        room
+    }
+
+    /// Takes in one peer's answer.
+    pub fn answer(&mut self, peer: &Name, owner: Option<Stamp>) {
+        self.waiting.remove(peer);
+        if let Some(found) = owner {
+            let better = self.owner.as_ref().is_none_or(|o| found.prevails(o));
+            if better {
+                self.owner = Some(found);
+            }
+        }
+    }
+
+    /// Gives up waiting for a peer that is presumed dead.
+    pub fn give_up(&mut self, peer: &Name) {
+        if self.waiting.remove(peer) {
+            self.unsure = true;
+        }
+    }
+
+    /// Returns whether the owner is found or nobody is left to answer.
+    pub fn is_over(&self) -> bool {
+        self.owner.is_some() || self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/lib/src/connection/mod.rs
@@ -0,0 +1,13 @@
+//! State that lives as long as a caller's flow.
+
+pub mod arrival;
+pub mod channel;
+pub mod channels;
+pub mod credit;
+pub mod door;
+pub mod flow;
+pub mod flows;
+pub mod lookup;
+pub mod redirect;
+pub mod router;
+pub mod stamp;
--- /dev/null
+++ b/lib/src/connection/redirect.rs
@@ -0,0 +1,13 @@
+//! Where the owner of a flow is found.
+
+use crate::connection::stamp::Stamp;
+use crate::process::moment::Moment;
+
+/// A flow's owner as another agent last heard of it.
+#[derive(Clone, Debug)]
+pub struct Redirect {
+    /// The owner's stamp.
+    pub stamp: Stamp,
+    /// When the redirect was last confirmed or used.
+    pub used: Moment,
+}
--- /dev/null
+++ b/lib/src/connection/router.rs
@@ -0,0 +1,527 @@
+//! An agent's way of finding the owner of each packet's flow.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::arrival::Arrival;
+use super::flow::FlowKey;
+use super::flow::Header;
+use super::flows::Change;
+use super::flows::Flows;
+use super::flows::Known;
+use super::lookup::Lookup;
+use super::stamp::Stamp;
+use crate::process::context::Context;
+use crate::process::message::Message;
+use crate::process::message::Mode;
+use crate::process::message::Pass;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Processes that a packet passes at most: entry, home, former owner, owner.
+pub const MAX_HOPS: u8 = 4;
+/// Time after which an unanswered claim is repeated.
+const CLAIM_AGAIN: Duration = Duration::from_millis(500);
+/// Time after which redirects elsewhere are confirmed.
+const CONFIRM: Duration = Duration::from_secs(60);
+
+/// What the caller of the router has to do with a packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome<C> {
+    /// Serve it: the flow is owned here.
+    Deliver(Arrival<C>),
+    /// Serve it without owning the flow: its owner is presumed dead.
+    Stand(Arrival<C>),
+}
+
+/// Routing decisions of one agent.
+#[derive(Debug)]
+pub struct Router<C> {
+    flows: Flows<Arrival<C>>,
+    // Peers that have not said under this version which flows they own.
+    unsettled: BTreeSet<Name>,
+    // Claims that a home has not acknowledged, with when each was last sent.
+    unclaimed: BTreeMap<(Name, FlowKey), Moment>,
+    confirmed: Moment,
+}
+
+impl<C> Router<C> {
+    /// Opens a router that has to settle with every peer.
+    pub fn open(context: &Context, now: Moment) -> Self {
+        let unsettled = context.peers.names().cloned().collect();
+        Self { flows: Flows::open(), unsettled, unclaimed: BTreeMap::new(), confirmed: now }
+    }
+
+    /// Starts to settle under a version that was just put in force.
+    pub fn enforce(&mut self, context: &mut Context, now: Moment) {
+        self.unsettled = context.peers.names().cloned().collect();
+        self.claim_all(context, now);
+    }
+
+    /// Returns whether every peer has said which flows it owns.
+    pub fn is_settled(&self) -> bool {
+        self.unsettled.is_empty()
+    }
+
+    /// Returns the flow table.
+    pub fn flows(&mut self) -> &mut Flows<Arrival<C>> {
+        &mut self.flows
+    }
+
+    /// Finds the owner of a packet's flow; a packet that is not for this agent
+    /// is passed on, held or dropped.
+    pub fn route(
+        &mut self,
+        context: &mut Context,
+        from: &Name,
+        arrival: Arrival<C>,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let flow = arrival.pass.header.flow;
+        match self.flows.find(&flow, now) {
+            Known::Mine => Some(Outcome::Deliver(arrival)),
+            Known::Other(owner) => self.follow(context, arrival, &owner, now),
+            Known::Searching => {
+                let held = self.flows.hold(&flow, arrival);
+                held.unwrap_or_else(|reason| context.count(reason));
+                None
+            }
+            Known::Unknown => self.discover(context, from, arrival, now),
+        }
+    }
+
+    fn follow(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        owner: &Name,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        if context.peers.alive(owner) || !arrival.may_open {
+            self.forward(context, arrival, owner, Mode::Route);
+            return None;
+        }
+        let flow = arrival.pass.header.flow;
+        if context.backend(owner).is_none() {
+            self.flows.forget(&flow, owner);
+            return self.place(context, arrival, now);
+        }
+        // The owner may come back, so it keeps the flow and only its new work
+        // is served here.
+        Some(Outcome::Stand(arrival))
+    }
+
+    fn discover(
+        &mut self,
+        context: &mut Context,
+        from: &Name,
+        arrival: Arrival<C>,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let flow = arrival.pass.header.flow;
+        if let Mode::Place(stamp) = &arrival.pass.mode {
+            let stamp = stamp.clone();
+            return self.own(context, arrival, stamp, now);
+        }
+        if context.peers.get(from).is_some() {
+            context.send(from, Message::Gone { flow });
+        }
+        let Some(home) = context.home(&flow) else {
+            context.count(Reason::NoService);
+            return None;
+        };
+        let ours = context.manifest.route(flow.service).map(|s| s.doc.service.clone());
+        if ours.as_ref() != Some(&context.joint.current().service) {
+            self.forward(context, arrival, &home, Mode::Route);
+            return None;
+        }
+        if home == context.me {
+            let waiting = self.unsettled.clone();
+            return self.search(context, arrival, waiting, now);
+        }
+        match self.substitute(context, &flow) {
+            Some(agent) if agent != context.me => {
+                self.forward(context, arrival, &agent, Mode::Route);
+                None
+            }
+            _ => {
+                let waiting = context.peers.names().cloned().collect();
+                self.search(context, arrival, waiting, now)
+            }
+        }
+    }
+
+    /// Returns the first agent in the flow's ranks that is not presumed dead.
+    fn substitute(&self, context: &Context, flow: &FlowKey) -> Option<Name> {
+        let membership = context.joint.current();
+        let ranks = membership.ranks(flow.hash(), membership.members.len());
+        let fit = |name: &Name| *name == context.me || context.peers.alive(name);
+        ranks.into_iter().map(|b| b.name.clone()).find(fit)
+    }
+
+    /// Asks the peers in `waiting` for the flow, or decides if there are none.
+    fn search(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        waiting: BTreeSet<Name>,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let alive = context.peers.alive_names();
+        let unsure = !waiting.is_subset(&alive);
+        let waiting: BTreeSet<_> = waiting.intersection(&alive).cloned().collect();
+        let flow = arrival.pass.header.flow;
+        let mut lookup = Lookup::open(waiting, unsure, now);
+        if lookup.is_over() {
+            return self.decide(context, arrival, unsure, now);
+        }
+        lookup.hold(arrival);
+        let asked = lookup.waiting.clone();
+        if let Err(reason) = self.flows.search(flow, lookup) {
+            context.count(reason);
+            return None;
+        }
+        for peer in &asked {
+            context.send(peer, Message::Ask { flow });
+        }
+        None
+    }
+
+    /// Decides on a packet whose flow nobody that was asked owns.
+    fn decide(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        unsure: bool,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        if arrival.may_open {
+            return self.place(context, arrival, now);
+        }
+        context.count(if unsure { Reason::OwnerUnknown } else { Reason::NotHere });
+        None
+    }
+
+    /// Places a new flow here, or on the better of two peers.
+    fn place(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let here = context.takes_work();
+        let stamp = |owner: Name| Stamp { born: now.0, moves: 0, owner };
+        if !here || context.health.cold {
+            let mine = if here { context.health.completion() } else { u64::MAX };
+            let names = context.candidates();
+            let best = context.peers.better_of_two(&names, &mut context.rng);
+            if let Some((peer, _)) = best.filter(|(_, theirs)| *theirs < mine) {
+                let stamp = stamp(peer.clone());
+                self.flows.redirect(arrival.pass.header.flow, stamp.clone(), now);
+                self.forward(context, arrival, &peer, Mode::Place(stamp));
+                return None;
+            }
+        }
+        if context.told_health().leaving {
+            context.count(Reason::Leaving);
+            return None;
+        }
+        let stamp = stamp(context.me.clone());
+        self.own(context, arrival, stamp, now)
+    }
+
+    fn own(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        stamp: Stamp,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let flow = arrival.pass.header.flow;
+        if let Err(reason) = self.flows.own(flow, stamp, now) {
+            context.count(reason);
+            return None;
+        }
+        self.claim(context, &[flow], now);
+        Some(Outcome::Deliver(arrival))
+    }
+
+    /// Takes ownership of a flow that another agent hands over.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the flow table is full.
+    pub fn adopt(
+        &mut self,
+        context: &mut Context,
+        flow: FlowKey,
+        stamp: Stamp,
+        now: Moment,
+    ) -> Result<(), Reason> {
+        self.flows.own(flow, stamp, now)?;
+        self.claim(context, &[flow], now);
+        Ok(())
+    }
+
+    /// Takes ownership of a flow whose owner is presumed dead, for a channel
+    /// that its caller opens anew.
+    pub fn take_over(
+        &mut self,
+        context: &mut Context,
+        arrival: Arrival<C>,
+        now: Moment,
+    ) -> Option<Outcome<C>> {
+        let stamp = Stamp { born: now.0, moves: 0, owner: context.me.clone() };
+        self.own(context, arrival, stamp, now)
+    }
+
+    /// Ends a flow that its protocol closed.
+    pub fn close(&mut self, context: &mut Context, header: &Header) {
+        if header.closes && self.flows.end(&header.flow) {
+            self.release(context, &header.flow);
+        }
+    }
+
+    /// Hands a flow to another agent by a planned move.
+    pub fn hand_over(&mut self, flow: &FlowKey, to: &Name, now: Moment) -> Option<Stamp> {
+        let stamp = self.flows.stamp(flow)?;
+        let stamp = Stamp { moves: stamp.moves + 1, owner: to.clone(), born: stamp.born };
+        self.flows.redirect(*flow, stamp.clone(), now);
+        self.unclaimed.retain(|(_, f), _| f != flow);
+        Some(stamp)
+    }
+
+    /// Answers a peer that looks for a flow.
+    pub fn ask(&mut self, context: &mut Context, peer: &Name, flow: FlowKey) {
+        let owner = self.flows.stamp(&flow).filter(|s| s.owner != *peer).cloned();
+        context.send(peer, Message::Told { flow, owner });
+    }
+
+    /// Takes in a peer's answer to a lookup.
+    pub fn told(
+        &mut self,
+        context: &mut Context,
+        peer: &Name,
+        flow: FlowKey,
+        owner: Option<Stamp>,
+        now: Moment,
+    ) -> Vec<Outcome<C>> {
+        match self.flows.answer(&flow, peer, owner) {
+            Some(lookup) => self.finish(context, flow, lookup, now),
+            None => Vec::new(),
+        }
+    }
+
+    fn finish(
+        &mut self,
+        context: &mut Context,
+        flow: FlowKey,
+        lookup: Lookup<Arrival<C>>,
+        now: Moment,
+    ) -> Vec<Outcome<C>> {
+        if let Some(stamp) = lookup.owner {
+            self.flows.redirect(flow, stamp, now);
+        }
+        let mut outcomes = Vec::new();
+        for arrival in lookup.held {
+            let outcome = match self.flows.find(&flow, now) {
+                Known::Mine => Some(Outcome::Deliver(arrival)),
+                Known::Other(owner) => self.follow(context, arrival, &owner, now),
+                _ => self.decide(context, arrival, lookup.unsure, now),
+            };
+            outcomes.extend(outcome);
+        }
+        outcomes
+    }
+
+    /// Takes in that a peer does not own a flow that was passed to it.
+    pub fn gone(&mut self, peer: &Name, flow: &FlowKey) {
+        self.flows.forget(flow, peer);
+    }
+
+    /// Takes in a peer's claims; returns the flows that this agent owned and
+    /// gave up, with the owner that prevails.
+    pub fn claimed_by(
+        &mut self,
+        context: &mut Context,
+        peer: &Name,
+        flows: Vec<(FlowKey, Stamp)>,
+        now: Moment,
+    ) -> Vec<(FlowKey, Stamp)> {
+        let mut refused = Vec::new();
+        let mut yielded = Vec::new();
+        let keys = flows.iter().map(|(flow, _)| *flow).collect();
+        for (flow, stamp) in flows {
+            match self.flows.claim(flow, &stamp, now) {
+                Change::Kept => {}
+                Change::Yielded => {
+                    context.count(Reason::OwnerYielded);
+                    yielded.push((flow, stamp));
+                }
+                Change::Refused(prevailing) => refused.push((flow, prevailing)),
+            }
+        }
+        context.send(peer, Message::Claimed { flows: keys, refused });
+        yielded
+    }
+
+    /// Takes in a home's answer to claims; returns the flows that this agent
+    /// has to give up, with the owner that prevails.
+    pub fn acknowledged(
+        &mut self,
+        context: &mut Context,
+        peer: &Name,
+        flows: &[FlowKey],
+        refused: Vec<(FlowKey, Stamp)>,
+        now: Moment,
+    ) -> Vec<(FlowKey, Stamp)> {
+        for flow in flows {
+            self.unclaimed.remove(&(peer.clone(), *flow));
+        }
+        let mut yielded = Vec::new();
+        for (flow, stamp) in refused {
+            if self.flows.claim(flow, &stamp, now) == Change::Yielded {
+                context.count(Reason::OwnerYielded);
+                yielded.push((flow, stamp));
+            }
+        }
+        yielded
+    }
+
+    /// Answers a peer that settles: the flows of its share that are owned here.
+    pub fn share_of(&self, context: &Context, peer: &Name) -> Vec<(FlowKey, Stamp)> {
+        self.flows.claims(|flow| context.homes(flow).contains(peer))
+    }
+
+    /// Takes in a peer's answer while settling.
+    pub fn settle(&mut self, peer: &Name, flows: &[(FlowKey, Stamp)], now: Moment) -> bool {
+        for (flow, stamp) in flows {
+            self.flows.claim(*flow, stamp, now);
+        }
+        self.unsettled.remove(peer)
+    }
+
+    /// Returns the peers that have not said which flows they own.
+    pub fn unsettled(&self) -> &BTreeSet<Name> {
+        &self.unsettled
+    }
+
+    /// Takes in peers that were not known before.
+    pub fn unsettle(&mut self, peers: Vec<Name>) {
+        self.unsettled.extend(peers);
+    }
+
+    /// Takes in that a peer runs anew: the flows it owned are gone.
+    pub fn restarted(&mut self, context: &mut Context, peer: &Name, now: Moment) {
+        self.flows.forget_owner(peer);
+        self.claim_all_to(context, peer, now);
+    }
+
+    /// Takes in that a peer answers again: it may have missed claims.
+    pub fn returned(&mut self, context: &mut Context, peer: &Name, now: Moment) {
+        self.claim_all_to(context, peer, now);
+    }
+
+    /// Takes in that a peer is presumed dead.
+    pub fn died(&mut self, context: &mut Context, peer: &Name, now: Moment) -> Vec<Outcome<C>> {
+        let over = self.flows.give_up(peer);
+        let finish = |(flow, lookup)| self.finish(context, flow, lookup, now);
+        over.into_iter().flat_map(finish).collect()
+    }
+
+    /// Takes in that a peer's VM was dropped from the live list.
+    pub fn removed(&mut self, peer: &Name) {
+        self.flows.forget_owner(peer);
+        self.unsettled.remove(peer);
+        self.unclaimed.retain(|(home, _), _| home != peer);
+    }
+
+    /// Repeats what was not answered and ends what was not used.
+    pub fn sweep(&mut self, context: &mut Context, now: Moment) {
+        for (peer, flow) in self.flows.ask_again(now) {
+            context.send(&peer, Message::Ask { flow });
+        }
+        for (_, lookup) in self.flows.expire_lookups(now) {
+            lookup.held.iter().for_each(|_| context.count(Reason::HeldTimeout));
+        }
+        for flow in self.flows.expire(now) {
+            self.release(context, &flow);
+        }
+        if now.since(self.confirmed) >= CONFIRM {
+            self.confirmed = now;
+            self.claim_all(context, now);
+        }
+        self.repeat_claims(context, now);
+    }
+
+    fn repeat_claims(&mut self, context: &mut Context, now: Moment) {
+        let late = |t: &Moment| now.since(*t) >= CLAIM_AGAIN;
+        let due: Vec<_> =
+            self.unclaimed.iter().filter(|(_, t)| late(t)).map(|(k, _)| k.clone()).collect();
+        let mut by_home: BTreeMap<Name, Vec<(FlowKey, Stamp)>> = BTreeMap::new();
+        for (home, flow) in due {
+            let known = context.backend(&home).is_some();
+            match self.flows.stamp(&flow).filter(|s| known && s.owner == context.me) {
+                Some(stamp) => {
+                    by_home.entry(home.clone()).or_default().push((flow, stamp.clone()));
+                    self.unclaimed.insert((home, flow), now);
+                    context.count(Reason::RetryClaim);
+                }
+                None => {
+                    self.unclaimed.remove(&(home, flow));
+                }
+            }
+        }
+        for (home, flows) in by_home {
+            context.send(&home, Message::Claims { flows });
+        }
+    }
+
+    fn claim_all(&mut self, context: &mut Context, now: Moment) {
+        let away = |flow: &FlowKey| !context.homes(flow).is_empty();
+        let flows: Vec<_> = self.flows.claims(away).into_iter().map(|(f, _)| f).collect();
+        self.claim(context, &flows, now);
+    }
+
+    fn claim_all_to(&mut self, context: &mut Context, peer: &Name, now: Moment) {
+        let share = self.share_of(context, peer);
+        if !share.is_empty() {
+            self.unclaimed.extend(share.iter().map(|(f, _)| ((peer.clone(), *f), now)));
+            context.send(peer, Message::Claims { flows: share });
+        }
+    }
+
+    /// Tells the homes of `flows` that they are owned here.
+    fn claim(&mut self, context: &mut Context, flows: &[FlowKey], now: Moment) {
+        let mut by_home: BTreeMap<Name, Vec<(FlowKey, Stamp)>> = BTreeMap::new();
+        for flow in flows {
+            let Some(stamp) = self.flows.stamp(flow).cloned() else { continue };
+            for home in context.homes(flow) {
+                self.unclaimed.insert((home.clone(), *flow), now);
+                by_home.entry(home).or_default().push((*flow, stamp.clone()));
+            }
+        }
+        for (home, flows) in by_home {
+            context.send(&home, Message::Claims { flows });
+        }
+    }
+
+    fn release(&mut self, context: &mut Context, flow: &FlowKey) {
+        self.unclaimed.retain(|(_, f), _| f != flow);
+        for home in context.homes(flow) {
+            context.send(&home, Message::Gone { flow: *flow });
+        }
+    }
+
+    fn forward(&mut self, context: &mut Context, arrival: Arrival<C>, to: &Name, mode: Mode) {
+        let pass = arrival.pass;
+        if pass.hops >= MAX_HOPS {
+            context.count(Reason::Looping);
+            return;
+        }
+        let hops = pass.hops + 1;
+        context.send(to, Message::Pass(Pass { mode, hops, ..pass }));
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions of the lagoonhollow load balancer.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number: time and
+//! randomness are passed in, and every decision returns the actions its caller
+//! has to carry out. The folders follow life spans: what lives for a request, a
+//! connection, a version of the manifest, or the whole process.
+
+pub mod connection;
+pub mod process;
+pub mod request;
+pub mod version;
--- /dev/null
+++ b/lib/src/process/agent.rs
@@ -0,0 +1,503 @@
+//! All decisions of the agent beside one backend server.
+
+use std::sync::Arc;
+
+use super::action::Action;
+use super::context::Context;
+use super::health::Health;
+use super::incarnation::Incarnation;
+use super::message::Envelope;
+use super::message::Message;
+use super::message::Mode;
+use super::message::Pass;
+use super::moment::Moment;
+use super::name::Name;
+use super::notice::Notice;
+use super::peers::HEARTBEAT;
+use super::peers::Peers;
+use super::peers::Sign;
+use super::reason::Reason;
+use super::recovery::Recovery;
+use super::tally::Tally;
+use crate::connection::arrival::Arrival;
+use crate::connection::channel::Moved;
+use crate::connection::channels::Channels;
+use crate::connection::flow::FlowKey;
+use crate::connection::router::Outcome;
+use crate::connection::router::Router;
+use crate::connection::stamp::Stamp;
+use crate::process::message::Via;
+use crate::request::answer::Answer;
+use crate::request::answer::Code;
+use crate::request::message::Content;
+use crate::request::message::Request;
+use crate::request::requests::Requests;
+use crate::request::requests::concerns;
+use crate::request::votes::Votes;
+use crate::version::manifest::InForce;
+use crate::version::manifest::Manifest;
+use crate::version::manifest::Service;
+use crate::version::membership::Membership;
+
+/// The agent beside one backend server, for front ends whose packets are CoAP
+/// requests.
+#[derive(Debug)]
+pub struct Agent {
+    context: Context,
+    router: Router<Content>,
+    requests: Requests,
+    votes: Votes,
+    channels: Channels,
+    recovery: Recovery,
+    beaten: Option<Moment>,
+    // Notices of this agent count up, so that the latest is known everywhere.
+    noticed: u64,
+}
+
+/// What operators are shown of one flow.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Explained {
+    /// The flow's home under the version in force.
+    pub home: Option<Name>,
+    /// The owner as this agent knows it.
+    pub owner: Option<Stamp>,
+}
+
+/// Numbers that operators are shown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Flows owned.
+    pub flows: usize,
+    /// Redirects to other owners.
+    pub redirects: usize,
+    /// Lookups under way.
+    pub lookups: usize,
+    /// Channels served.
+    pub channels: usize,
+    /// Requests not answered yet.
+    pub requests: usize,
+    /// Requests kept for retransmissions.
+    pub exchanges: usize,
+    /// Grants remembered as a witness.
+    pub grants: usize,
+    /// Whether grants of an earlier run may be forgotten.
+    pub recovering: bool,
+    /// Whether every peer has said which flows it owns.
+    pub settled: bool,
+}
+
+impl Agent {
+    /// Opens the agent beside backend server `me` of `service`.
+    pub fn open(
+        me: Name,
+        run: Incarnation,
+        manifest: Arc<Manifest<InForce>>,
+        service: &Service,
+        seed: u64,
+        now: Moment,
+    ) -> Self {
+        let slots = service.doc.backend(me.as_str()).map_or(1, |b| b.slots);
+        let lifetime = service.doc.lifetime;
+        let context = Context::open(me, run, manifest, service, seed, now);
+        Self {
+            router: Router::open(&context, now),
+            context,
+            requests: Requests::open(run, slots),
+            votes: Votes::open(lifetime, now),
+            channels: Channels::open(),
+            recovery: Recovery::open(now),
+            beaten: None,
+            noticed: run.0,
+        }
+    }
+
+    /// Returns what all decisions share.
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
+    /// Takes the counts per reason since the last call.
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.context.tally)
+    }
+
+    /// Returns the numbers that operators are shown.
+    pub fn gauges(&mut self) -> Gauges {
+        let (flows, redirects, lookups) = self.router.flows().counts();
+        Gauges {
+            flows,
+            redirects,
+            lookups,
+            channels: self.channels.len(),
+            requests: self.requests.open_count(),
+            exchanges: self.requests.len(),
+            grants: self.votes.len(),
+            recovering: self.votes.is_recovering(),
+            settled: self.router.is_settled(),
+        }
+    }
+
+    /// Explains where a flow is owned.
+    pub fn explain(&mut self, flow: &FlowKey) -> Explained {
+        let owner = self.router.flows().stamp(flow).cloned();
+        Explained { home: self.context.home(flow), owner }
+    }
+
+    /// Puts a later version in force; an earlier one is ignored.
+    pub fn enforce(&mut self, manifest: Arc<Manifest<InForce>>, now: Moment) -> Vec<Action> {
+        if self.context.enforce(manifest, now) {
+            if let Some(me) = self.context.joint.current().member(&self.context.me) {
+                self.requests.admission().resize(me.slots);
+            }
+            self.requests.joint_changed(&mut self.context);
+            self.router.enforce(&mut self.context, now);
+            self.recovery = Recovery::open(now);
+            self.beaten = None;
+        }
+        self.tick(now)
+    }
+
+    /// Takes in the backend server's state as its agent measures it.
+    pub fn measured(&mut self, leaving: bool, cold: bool, shedding: bool) {
+        let health = self.context.health;
+        let changed = health.leaving != leaving || health.shedding != shedding;
+        self.context.health = Health { leaving, cold, shedding, ..health };
+        if changed {
+            self.beaten = None;
+        }
+    }
+
+    /// Takes in that the VM of a backend server was dropped from the live list.
+    pub fn removed(&mut self, name: &Name, now: Moment) {
+        self.context.removed(name, now);
+        self.router.removed(name);
+    }
+
+    /// Takes in a caller's packet that an entry or another agent passed on.
+    pub fn packet(
+        &mut self,
+        from: &Name,
+        pass: Pass,
+        content: Content,
+        now: Moment,
+    ) -> Vec<Action> {
+        self.context.met(&pass.via);
+        let may_open = content.may_open() && pass.header.may_open();
+        let lent = pass.mode == Mode::Lend;
+        let arrival = Arrival { pass, may_open, content };
+        if lent {
+            self.serve(arrival, now);
+        } else if let Some(outcome) = self.router.route(&mut self.context, from, arrival, now) {
+            self.deliver(outcome, now);
+        }
+        self.context.take_actions()
+    }
+
+    /// Takes in a message from another agent.
+    pub fn message(&mut self, envelope: Envelope, now: Moment) -> Vec<Action> {
+        let Envelope { from, run, message, .. } = envelope;
+        match self.context.peers.heard(&from, run, now) {
+            Sign::Known => {}
+            Sign::Outdated => return Vec::new(),
+            Sign::Returned => {
+                self.spread(&from, false, now);
+                self.router.returned(&mut self.context, &from, now);
+            }
+            Sign::Restarted => {
+                self.spread(&from, false, now);
+                self.requests.restarted(&from, run);
+                self.router.restarted(&mut self.context, &from, now);
+            }
+        }
+        self.handle(from, run, message, now);
+        self.context.take_actions()
+    }
+
+    /// Takes in what the backend server says under number `id`.
+    pub fn backend(&mut self, id: u64, answer: Answer, now: Moment) -> Vec<Action> {
+        let context = &mut self.context;
+        let known = self.requests.answered(context, id, answer.clone(), now)
+            || self.channels.notified(context, id, answer, now);
+        if !known {
+            context.count(Reason::LateAnswer);
+        }
+        self.context.take_actions()
+    }
+
+    /// Takes in a notice from elsewhere in the fleet.
+    pub fn notice(&mut self, notice: &Notice) {
+        self.context.peers.notice(&notice.agent, notice.down);
+    }
+
+    /// Takes in that an entry is leaving.
+    pub fn entry_lost(&mut self, entry: &Name) {
+        self.context.lost(entry);
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        for peer in self.context.peers.sweep(now) {
+            self.spread(&peer, true, now);
+            for outcome in self.router.died(&mut self.context, &peer, now) {
+                self.deliver(outcome, now);
+            }
+        }
+        self.ask_peers(now);
+        self.beat(now);
+        self.router.sweep(&mut self.context, now);
+        self.requests.sweep(&mut self.context, &mut self.votes, now);
+        for flow in self.channels.sweep(&mut self.context, now) {
+            self.router.flows().pin(&flow, false);
+        }
+        let lifetime = self.context.joint.lifetime();
+        self.votes.sweep(&self.context, lifetime, now);
+        if self.context.joint.sweep(now) {
+            self.context.refresh_peers(now);
+        }
+        self.context.take_actions()
+    }
+
+    /// Hands every channel to a peer that takes work, for a planned stop.
+    ///
+    /// Returns false while there is none.
+    pub fn hand_over(&mut self, now: Moment) -> (bool, Vec<Action>) {
+        let mut all = true;
+        for flow in self.channels.flows() {
+            let names = self.context.candidates();
+            let best = self.context.peers.better_of_two(&names, &mut self.context.rng);
+            match best {
+                Some((peer, _)) => self.move_flow(&flow, &peer, now),
+                None => all = false,
+            }
+        }
+        (all, self.context.take_actions())
+    }
+
+    fn handle(&mut self, from: Name, run: Incarnation, message: Message, now: Moment) {
+        let context = &mut self.context;
+        match message {
+            Message::Ask { flow } => self.router.ask(context, &from, flow),
+            Message::Told { flow, owner } => {
+                for outcome in self.router.told(context, &from, flow, owner, now) {
+                    self.deliver(outcome, now);
+                }
+            }
+            Message::Gone { flow } => self.router.gone(&from, &flow),
+            Message::Elect { key, holder, revisions } => {
+                let vote = self.votes.elect(context, key, &holder, &revisions, now);
+                let reply = match vote {
+                    Ok(vote) => Message::Voted { key, vote },
+                    Err(memberships) => Message::Behind { key, memberships },
+                };
+                context.send(&from, reply);
+            }
+            Message::Voted { key, vote } => {
+                self.requests.voted(context, &from, run, key, vote, now);
+            }
+            Message::Behind { memberships, .. } => self.learn_memberships(&memberships, now),
+            Message::Heartbeat { revision, health } => {
+                context.peers.update(&from, revision, health);
+                context.joint.acknowledge(&from, revision, now);
+            }
+            Message::Sync { version, recovering } => self.sync(&from, version, recovering),
+            Message::Synced { version, flows, grants, memberships, former, recovering } => {
+                self.learn_memberships(&memberships, now);
+                let context = &mut self.context;
+                self.router.unsettle(context.learn_left(&former, now));
+                if version == context.manifest.version() {
+                    self.router.settle(&from, &flows, now);
+                }
+                self.votes.learn(context, &from, &grants, recovering, now);
+            }
+            Message::Claims { flows } => {
+                let yielded = self.router.claimed_by(context, &from, flows, now);
+                self.yield_channels(yielded);
+            }
+            Message::Claimed { flows, refused } => {
+                let yielded = self.router.acknowledged(context, &from, &flows, refused, now);
+                self.yield_channels(yielded);
+            }
+            Message::Adopt { stamp, channels, via } => self.adopt(&from, stamp, channels, via, now),
+            Message::Adopted { .. }
+            | Message::Pass(_)
+            | Message::Reply { .. }
+            | Message::Credit
+            | Message::Gossip { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, outcome: Outcome<Content>, now: Moment) {
+        match outcome {
+            Outcome::Deliver(arrival) => {
+                let header = arrival.pass.header;
+                self.serve(arrival, now);
+                self.router.close(&mut self.context, &header);
+            }
+            Outcome::Stand(arrival) => self.stand(arrival, now),
+        }
+    }
+
+    // A request of a flow whose owner is presumed dead is served without
+    // owning the flow; a channel can't be, so its flow is taken over.
+    fn stand(&mut self, arrival: Arrival<Content>, now: Moment) {
+        let opens = matches!(&arrival.content, Content::Request(r) if r.observe == Some(true));
+        if !opens {
+            let pass = Pass { mode: Mode::Lend, ..arrival.pass };
+            self.serve(Arrival { pass, ..arrival }, now);
+        } else if let Some(outcome) = self.router.take_over(&mut self.context, arrival, now) {
+            self.deliver(outcome, now);
+        }
+    }
+
+    fn serve(&mut self, arrival: Arrival<Content>, now: Moment) {
+        let Arrival { pass, content, .. } = arrival;
+        let context = &mut self.context;
+        let flow = pass.header.flow;
+        match content {
+            Content::Request(request) if request.observe == Some(true) => {
+                self.register(pass, request, now);
+            }
+            Content::Request(request) => {
+                if request.observe == Some(false)
+                    && self.channels.deregister(context, flow, &request.token)
+                {
+                    self.router.flows().pin(&flow, false);
+                }
+                self.requests.receive(context, &mut self.votes, pass, request, now);
+            }
+            Content::Acknowledge(id) => {
+                self.channels.acknowledged(context, flow, id, pass.via.clone(), now);
+                context.act(Action::Credit { via: pass.via });
+            }
+            Content::Reset(id) => {
+                if self.channels.reset(context, flow, id) {
+                    self.router.flows().pin(&flow, false);
+                }
+                context.act(Action::Credit { via: pass.via });
+            }
+        }
+    }
+
+    fn register(&mut self, pass: Pass, request: Request, now: Moment) {
+        let context = &mut self.context;
+        let flow = pass.header.flow;
+        let refusal = if context.told_health().leaving {
+            Some(Reason::Leaving)
+        } else if !self.channels.has_room() {
+            Some(Reason::FlowsFull)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            context.count(reason);
+            let answer = Answer::bare(request.token, Code::NotRun(reason));
+            context.act(Action::Answer { via: pass.via, flow, id: request.id, answer });
+            return;
+        }
+        let id = self.requests.number();
+        if self.channels.register(context, flow, request, pass.via, id, now) {
+            self.router.flows().pin(&flow, true);
+        }
+    }
+
+    fn adopt(&mut self, from: &Name, stamp: Stamp, channels: Vec<Moved>, via: Via, now: Moment) {
+        let Some(flow) = channels.first().map(|(r, _)| r.flow) else { return };
+        let context = &mut self.context;
+        if let Err(reason) = self.router.adopt(context, flow, stamp, now) {
+            context.count(reason);
+            return;
+        }
+        for (registration, waiting) in channels {
+            let id = self.requests.number();
+            if self.channels.adopt(context, registration, waiting, via.clone(), id, now) {
+                self.router.flows().pin(&flow, true);
+            }
+        }
+        context.send(from, Message::Adopted { flow });
+    }
+
+    fn move_flow(&mut self, flow: &FlowKey, peer: &Name, now: Moment) {
+        let Some(stamp) = self.router.hand_over(flow, peer, now) else { return };
+        if let Some((channels, via)) = self.channels.hand_over(&mut self.context, flow) {
+            self.context.send(peer, Message::Adopt { stamp, channels, via });
+        }
+    }
+
+    // The channels of flows that an older owner has go to that owner.
+    fn yield_channels(&mut self, yielded: Vec<(FlowKey, Stamp)>) {
+        for (flow, stamp) in yielded {
+            if let Some((channels, via)) = self.channels.hand_over(&mut self.context, &flow) {
+                let owner = stamp.owner.clone();
+                self.context.send(&owner, Message::Adopt { stamp, channels, via });
+            }
+        }
+    }
+
+    fn learn_memberships(&mut self, memberships: &[Membership], now: Moment) {
+        let service = self.context.joint.current().service.clone();
+        let mut learned = false;
+        for membership in memberships.iter().filter(|m| m.service == service) {
+            learned |= self.context.joint.learn(membership);
+        }
+        if learned {
+            self.context.refresh_peers(now);
+            self.requests.joint_changed(&mut self.context);
+        }
+    }
+
+    // A peer's flows can be told only under its own version.
+    fn sync(&mut self, peer: &Name, version: u64, recovering: bool) {
+        let context = &mut self.context;
+        let mine = context.manifest.version();
+        if mine < version && !recovering {
+            return;
+        }
+        let flows = self.router.share_of(context, peer);
+        let mut grants = Vec::new();
+        if recovering {
+            grants = self.votes.grants_for(|key| concerns(context, peer, key));
+            grants.extend(self.requests.held(context, |key| concerns(context, peer, key)));
+        }
+        let memberships = context.joint.all().map(|m| (**m).clone()).collect();
+        let recovering = self.votes.is_recovering();
+        let former = context.former().to_vec();
+        let version = mine;
+        let synced = Message::Synced { version, flows, grants, memberships, former, recovering };
+        context.send(peer, synced);
+    }
+
+    fn ask_peers(&mut self, now: Moment) {
+        let mut owing = self.votes.untold(&self.context);
+        owing.extend(self.router.unsettled().iter().cloned());
+        let retry = self.recovery.is_retry();
+        let version = self.context.manifest.version();
+        let recovering = self.votes.is_recovering();
+        for peer in self.recovery.due(owing, now) {
+            if retry {
+                self.context.count(Reason::RetrySync);
+            }
+            self.context.send(&peer, Message::Sync { version, recovering });
+        }
+    }
+
+    fn beat(&mut self, now: Moment) {
+        if self.beaten.is_some_and(|t| now.since(t) < HEARTBEAT) {
+            return;
+        }
+        self.beaten = Some(now);
+        let mut names = self.context.joint.members();
+        names.extend(self.context.peers.names().cloned());
+        names.insert(self.context.me.clone());
+        let revision = self.context.joint.current().revision;
+        let health = self.context.told_health();
+        for peer in Peers::targets(&names, &self.context.me) {
+            self.context.send(&peer, Message::Heartbeat { revision, health });
+        }
+    }
+
+    fn spread(&mut self, agent: &Name, down: bool, now: Moment) {
+        self.noticed = self.noticed.max(now.0) + 1;
+        let notice = Notice { agent: agent.clone(), down, stamp: self.noticed };
+        self.context.act(Action::Spread(notice));
+    }
+}
--- /dev/null
+++ b/lib/src/process/context.rs
@@ -0,0 +1,258 @@
+//! What all decisions of one agent share.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::action::Action;
+use super::health::Health;
+use super::incarnation::Incarnation;
+use super::message::Message;
+use super::message::Via;
+use super::moment::Moment;
+use super::name::Name;
+use super::peers::Peers;
+use super::reason::Reason;
+use super::tally::Tally;
+use crate::connection::flow::FlowKey;
+use crate::request::grant::Holder;
+use crate::version::backend::Backend;
+use crate::version::joint::Joint;
+use crate::version::manifest::InForce;
+use crate::version::manifest::Manifest;
+use crate::version::manifest::Service;
+use crate::version::membership::Membership;
+
+/// Entries remembered as ways back to callers.
+const MAX_ENTRIES: usize = 16;
+
+/// Former backend servers remembered.
+const MAX_FORMER: usize = 256;
+
+/// Identity, membership, peers and pending actions of one agent.
+#[derive(Debug)]
+pub struct Context {
+    /// Name of this agent's backend server.
+    pub me: Name,
+    /// This run.
+    pub run: Incarnation,
+    /// The manifest in force.
+    pub manifest: Arc<Manifest<InForce>>,
+    /// Memberships of this agent's service that still count.
+    pub joint: Joint,
+    /// The other agents of the service.
+    pub peers: Peers,
+    /// Own measure of the backend server.
+    pub health: Health,
+    /// Counts per reason.
+    pub tally: Tally,
+    /// Random numbers, from a seed that the caller chose.
+    pub rng: Pcg64Mcg,
+    // Backend servers that left the service, or whose service held its address.
+    former: Vec<Backend>,
+    entries: VecDeque<Via>,
+    actions: Vec<Action>,
+}
+
+impl Context {
+    /// Opens the context of the agent beside backend server `me`, which belongs
+    /// to `service` of `manifest`.
+    pub fn open(
+        me: Name,
+        run: Incarnation,
+        manifest: Arc<Manifest<InForce>>,
+        service: &Service,
+        seed: u64,
+        now: Moment,
+    ) -> Self {
+        let joint = Joint::open(service.membership.clone(), service.doc.lifetime);
+        let mut context = Self {
+            me,
+            run,
+            manifest,
+            joint,
+            peers: Peers::default(),
+            health: Health::default(),
+            tally: Tally::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            former: Vec::new(),
+            entries: VecDeque::new(),
+            actions: Vec::new(),
+        };
+        context.learn_former(service);
+        context.refresh_peers(now);
+        context
+    }
+
+    /// Puts a later version in force; returns false for an earlier one.
+    pub fn enforce(&mut self, manifest: Arc<Manifest<InForce>>, now: Moment) -> bool {
+        if manifest.version() <= self.manifest.version() {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.manifest, manifest);
+        let name = self.joint.current().service.clone();
+        if let Some(service) = self.manifest.service(&name).cloned() {
+            if let Some(old) = before.route(service.doc.address) {
+                self.remember(&old.membership.members, &service.membership);
+            }
+            let dropped = self.joint.current().members.clone();
+            self.remember(&dropped, &service.membership);
+            self.learn_former(&service);
+            self.joint.enforce(service.membership.clone(), service.doc.lifetime);
+            let revision = self.joint.current().revision;
+            self.joint.acknowledge(&self.me, revision, now);
+        }
+        self.refresh_peers(now);
+        true
+    }
+
+    /// Makes the peers follow the open memberships.
+    pub fn refresh_peers(&mut self, now: Moment) {
+        let mut names = self.joint.members();
+        names.extend(self.former.iter().map(|b| b.name.clone()));
+        names.insert(self.me.clone());
+        self.peers.enforce(&self.me, &names, now);
+    }
+
+    /// Returns whether the manifest in force still names this agent's backend server.
+    pub fn is_member(&self) -> bool {
+        let service = self.manifest.service_of(&self.me);
+        service.is_some_and(|s| s.doc.service == self.joint.current().service)
+    }
+
+    /// Returns whether the backend server of this agent takes new work.
+    pub fn takes_work(&self) -> bool {
+        let drain = self.joint.current().member(&self.me).is_some_and(|b| b.drain);
+        self.is_member() && !drain && self.health.takes_work()
+    }
+
+    /// Returns the health that peers are told.
+    pub fn told_health(&self) -> Health {
+        let drain = self.joint.current().member(&self.me).is_some_and(|b| b.drain);
+        Health { leaving: self.health.leaving || drain || !self.is_member(), ..self.health }
+    }
+
+    /// Returns this run as a holder of requests.
+    pub fn holder(&self) -> Holder {
+        Holder { agent: self.me.clone(), run: self.run }
+    }
+
+    /// Returns the home of `flow` under the manifest in force.
+    pub fn home(&self, flow: &FlowKey) -> Option<Name> {
+        let service = self.manifest.route(flow.service)?;
+        service.membership.home(flow.hash()).map(|b| b.name.clone())
+    }
+
+    /// Returns the other agents that may be asked for `flow`: its homes under
+    /// the manifest in force and under all open memberships.
+    pub fn homes(&self, flow: &FlowKey) -> BTreeSet<Name> {
+        let key = flow.hash();
+        let open = self.joint.all().filter_map(|m| m.home(key).map(|b| b.name.clone()));
+        let mut homes: BTreeSet<_> = open.chain(self.home(flow)).collect();
+        homes.remove(&self.me);
+        homes
+    }
+
+    /// Returns the members of the service in force that take placed work.
+    pub fn candidates(&self) -> BTreeSet<Name> {
+        let members = self.joint.current().members.iter();
+        members.filter(|b| b.name != self.me && !b.drain).map(|b| b.name.clone()).collect()
+    }
+
+    /// Returns the backend server with `name` as any known membership has it.
+    pub fn backend(&self, name: &Name) -> Option<&Backend> {
+        let service = self.manifest.service_of(name);
+        service
+            .and_then(|s| s.doc.backend(name.as_str()))
+            .or_else(|| self.joint.all().find_map(|m| m.member(name)))
+            .or_else(|| self.former.iter().find(|b| b.name == *name))
+    }
+
+    /// Takes note of a way back to callers.
+    pub fn met(&mut self, via: &Via) {
+        self.entries.retain(|e| e != via);
+        self.entries.push_front(via.clone());
+        self.entries.truncate(MAX_ENTRIES);
+    }
+
+    /// Forgets a way back that leads nowhere.
+    pub fn lost(&mut self, entry: &Name) {
+        self.entries.retain(|e| e.entry != *entry);
+    }
+
+    /// Returns an entry other than `not`, or `not` if no other is known.
+    pub fn other_entry(&mut self, not: &Via) -> Via {
+        let others: Vec<_> = self.entries.iter().filter(|e| *e != not).collect();
+        if others.is_empty() {
+            return not.clone();
+        }
+        let at = self.rng.random_range(0..others.len());
+        others[at].clone()
+    }
+
+    /// Queues an action.
+    pub fn act(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    /// Queues a message to another agent.
+    pub fn send(&mut self, to: &Name, message: Message) {
+        self.act(Action::Send { to: to.clone(), message });
+    }
+
+    /// Counts a refusal, drop or retry.
+    pub fn count(&mut self, reason: Reason) {
+        self.tally.add(reason);
+    }
+
+    /// Takes the queued actions.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the backend servers that may own flows of the service without
+    /// belonging to it.
+    pub fn former(&self) -> &[Backend] {
+        &self.former
+    }
+
+    /// Takes in backend servers that a peer knows to have left; returns those
+    /// that are new here.
+    pub fn learn_left(&mut self, backends: &[Backend], now: Moment) -> Vec<Name> {
+        let current = self.joint.current().clone();
+        let before = self.peers.names().cloned().collect::<BTreeSet<_>>();
+        self.remember(backends, &current);
+        self.refresh_peers(now);
+        self.peers.names().filter(|n| !before.contains(*n)).cloned().collect()
+    }
+
+    /// Forgets a backend server whose VM was dropped from the live list.
+    pub fn removed(&mut self, name: &Name, now: Moment) {
+        self.former.retain(|b| b.name != *name);
+        self.joint.gone(name, now);
+        self.refresh_peers(now);
+    }
+
+    fn learn_former(&mut self, service: &Service) {
+        for name in &service.doc.former {
+            if let Some(old) = self.manifest.service(name).cloned() {
+                self.remember(&old.membership.members, &service.membership);
+            }
+        }
+    }
+
+    // A backend server that left the service may still own flows of it.
+    fn remember(&mut self, backends: &[Backend], current: &Membership) {
+        for backend in backends.iter().filter(|b| current.member(&b.name).is_none()) {
+            if self.former.iter().all(|b| b.name != backend.name) {
+                self.former.push(backend.clone());
+            }
+        }
+        let surplus = self.former.len().saturating_sub(MAX_FORMER);
+        self.former.drain(..surplus);
+    }
+}
--- /dev/null
+++ b/lib/src/process/incarnation.rs
@@ -0,0 +1,13 @@
+//! Identity of one run of a process.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One run of a process: the Unix time of its start in microseconds.
+///
+/// A restarted process has a greater incarnation, so state that it granted or
+/// promised in an earlier run can be told from the current one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
--- /dev/null
+++ b/lib/src/process/life.rs
@@ -0,0 +1,91 @@
+//! Life cycle of an agent or an entry.
+
+use std::time::Duration;
+
+use super::moment::Moment;
+
+/// The settings are checked and nothing is bound yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Starting;
+
+/// State is being read back from peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Recovering;
+
+/// Work is taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Serving;
+
+/// No new work is taken, open work is finished.
+#[derive(Clone, Copy, Debug)]
+pub struct Draining {
+    deadline: Moment,
+}
+
+/// Nothing is open any more.
+#[derive(Clone, Copy, Debug)]
+pub struct Stopped;
+
+/// A process in state `S`; each step consumes the state before it.
+#[derive(Clone, Copy, Debug)]
+pub struct Life<S> {
+    state: S,
+    since: Moment,
+}
+
+impl<S> Life<S> {
+    /// Returns when the state was entered.
+    pub fn since(&self) -> Moment {
+        self.since
+    }
+
+    fn step<T>(&self, state: T, now: Moment) -> Life<T> {
+        Life { state, since: now }
+    }
+}
+
+impl Life<Starting> {
+    /// Opens the life cycle.
+    pub fn open(now: Moment) -> Self {
+        Self { state: Starting, since: now }
+    }
+
+    /// Moves on to reading state back from peers.
+    pub fn recover(self, now: Moment) -> Life<Recovering> {
+        self.step(Recovering, now)
+    }
+}
+
+impl Life<Recovering> {
+    /// Moves on to taking work.
+    pub fn serve(self, now: Moment) -> Life<Serving> {
+        self.step(Serving, now)
+    }
+
+    /// Stops before any work was taken.
+    pub fn abort(self, now: Moment) -> Life<Stopped> {
+        self.step(Stopped, now)
+    }
+}
+
+impl Life<Serving> {
+    /// Stops taking work and gives open work `limit` to finish.
+    pub fn drain(self, now: Moment, limit: Duration) -> Life<Draining> {
+        self.step(Draining { deadline: now + limit }, now)
+    }
+}
+
+impl Life<Draining> {
+    /// Stops once nothing is `open` or the time limit has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the state unchanged while work is open and time is left.
+    pub fn finish(self, now: Moment, open: usize) -> Result<Life<Stopped>, Self> {
+        if open == 0 || now >= self.state.deadline {
+            Ok(self.step(Stopped, now))
+        } else {
+            Err(self)
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/mod.rs
@@ -0,0 +1,17 @@
+//! State that lives as long as the process.
+
+pub mod action;
+pub mod agent;
+pub mod context;
+pub mod health;
+pub mod incarnation;
+pub mod life;
+pub mod message;
+pub mod moment;
+pub mod name;
+pub mod notice;
+pub mod peers;
+pub mod reason;
+pub mod recovery;
+pub mod rumors;
+pub mod tally;
--- /dev/null
+++ b/lib/src/process/notice.rs
@@ -0,0 +1,17 @@
+//! What the peers of an agent say about it to the rest of the fleet.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::name::Name;
+
+/// A statement that an agent does or does not answer its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The agent.
+    pub agent: Name,
+    /// Whether it is presumed dead.
+    pub down: bool,
+    /// Unix time of the statement in microseconds; the latest one counts.
+    pub stamp: u64,
+}
--- /dev/null
+++ b/lib/src/process/peers.rs
@@ -0,0 +1,185 @@
+//! The other agents of a service and what is known of each.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::health::Health;
+use super::incarnation::Incarnation;
+use super::moment::Moment;
+use super::name::Name;
+
+/// Time between two heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Silence after which a peer is presumed dead for the placing of new work.
+pub const FAILURE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Peers that each agent sends heartbeats to.
+pub const FANOUT: usize = 8;
+
+/// One peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its current run, once heard of.
+    pub incarnation: Option<Incarnation>,
+    /// Revision of the service's document that it works under.
+    pub revision: u64,
+    /// Its own measure of its backend server.
+    pub health: Health,
+    heard: Moment,
+    watched: bool,
+    dead: bool,
+    // Work handed to the peer since its last heartbeat, in microseconds.
+    handed: u64,
+}
+
+/// What a sign of life changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// Nothing but the time it was last heard.
+    Known,
+    /// The peer was presumed dead before.
+    Returned,
+    /// The peer runs as a new incarnation.
+    Restarted,
+    /// The message comes from an earlier incarnation and must be ignored.
+    Outdated,
+}
+
+/// All peers of one agent.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<Name, Peer>,
+}
+
+impl Peers {
+    /// Keeps exactly the peers in `names`; new ones start as alive.
+    pub fn enforce(&mut self, me: &Name, names: &BTreeSet<Name>, now: Moment) {
+        self.peers.retain(|name, _| names.contains(name));
+        for name in names.iter().filter(|n| *n != me) {
+            let watched = Self::targets(names, name).contains(me);
+            let peer = self.peers.entry(name.clone()).or_insert_with(|| Peer::open(now));
+            if watched && !peer.watched {
+                peer.heard = now;
+            }
+            peer.watched = watched;
+        }
+    }
+
+    /// Returns the members that `sender` sends heartbeats to: the next ones in
+    /// the order of names, so that each member is heard by as many.
+    pub fn targets(names: &BTreeSet<Name>, sender: &Name) -> Vec<Name> {
+        let after = names.range(sender.clone()..).skip(1);
+        let before = names.range(..sender.clone());
+        after.chain(before).take(FANOUT).cloned().collect()
+    }
+
+    /// Takes note of a message from `name`.
+    pub fn heard(&mut self, name: &Name, run: Incarnation, now: Moment) -> Sign {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return Sign::Known;
+        };
+        if peer.incarnation.is_some_and(|i| run < i) {
+            return Sign::Outdated;
+        }
+        let restarted = peer.incarnation.is_some_and(|i| run > i);
+        let returned = peer.dead;
+        peer.incarnation = Some(run);
+        peer.heard = now;
+        peer.dead = false;
+        match (restarted, returned) {
+            (true, _) => Sign::Restarted,
+            (false, true) => Sign::Returned,
+            (false, false) => Sign::Known,
+        }
+    }
+
+    /// Takes in what a peer says of its backend server and version.
+    pub fn update(&mut self, name: &Name, revision: u64, health: Health) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.revision = peer.revision.max(revision);
+            peer.health = health;
+            peer.handed = 0;
+        }
+    }
+
+    /// Takes in a notice about a peer that sends no heartbeats here.
+    pub fn notice(&mut self, name: &Name, down: bool) {
+        if let Some(peer) = self.peers.get_mut(name).filter(|p| !p.watched) {
+            peer.dead = down;
+        }
+    }
+
+    /// Returns the peers that are presumed dead from now on.
+    pub fn sweep(&mut self, now: Moment) -> Vec<Name> {
+        let late = |p: &Peer| p.watched && !p.dead && now.since(p.heard) >= FAILURE_TIMEOUT;
+        let mut names = Vec::new();
+        for (name, peer) in self.peers.iter_mut().filter(|(_, p)| late(p)) {
+            peer.dead = true;
+            names.push(name.clone());
+        }
+        names
+    }
+
+    /// Returns the peer with `name`.
+    pub fn get(&self, name: &Name) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// Returns whether `name` is a peer that is not presumed dead.
+    pub fn alive(&self, name: &Name) -> bool {
+        self.peers.get(name).is_some_and(|p| !p.dead)
+    }
+
+    /// Returns the names of all peers.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.peers.keys()
+    }
+
+    /// Returns the names of the peers that are not presumed dead.
+    pub fn alive_names(&self) -> BTreeSet<Name> {
+        self.peers.iter().filter(|(_, p)| !p.dead).map(|(n, _)| n.clone()).collect()
+    }
+
+    /// Draws two peers that take work, out of `names`, and returns the better
+    /// one with its expected completion time in microseconds.
+    pub fn better_of_two(&self, names: &BTreeSet<Name>, rng: &mut impl Rng) -> Option<(Name, u64)> {
+        let fit = |p: &Peer| !p.dead && p.incarnation.is_some() && p.health.takes_work();
+        let fit: Vec<_> = self.peers.iter().filter(|(n, p)| names.contains(*n) && fit(p)).collect();
+        if fit.is_empty() {
+            return None;
+        }
+        let a = rng.random_range(0..fit.len());
+        let b = rng.random_range(0..fit.len());
+        // The second draw skips the first, so that two peers are compared.
+        let b = if a == b { (b + 1) % fit.len() } else { b };
+        let best = [a, b].into_iter().min_by_key(|i| fit[*i].1.completion())?;
+        Some((fit[best].0.clone(), fit[best].1.completion()))
+    }
+
+    /// Takes note of work handed to a peer that its last heartbeat can't show.
+    pub fn hand(&mut self, name: &Name) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.handed += u64::from(peer.health.pace);
+        }
+    }
+}
+
+impl Peer {
+    fn open(now: Moment) -> Self {
+        Self {
+            incarnation: None,
+            revision: 0,
+            health: Health::default(),
+            heard: now,
+            watched: false,
+            dead: false,
+            handed: 0,
+        }
+    }
+
+    fn completion(&self) -> u64 {
+        self.health.completion() + self.handed
+    }
+}
--- /dev/null
+++ b/lib/src/request/admission.rs
@@ -0,0 +1,191 @@
+//! Admission of work before the slots of one backend server.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::cost::Costs;
+use super::key::RequestKey;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Pieces of work that wait at most, per slot.
+const QUEUED_PER_SLOT: usize = 64;
+
+/// Work that waits for a slot.
+#[derive(Clone, Debug)]
+struct Work {
+    key: RequestKey,
+    path: Name,
+    expected: Duration,
+}
+
+/// Work that holds a slot.
+#[derive(Clone, Debug)]
+struct Running {
+    path: Name,
+    long: bool,
+    since: Moment,
+    expected: Duration,
+}
+
+/// What to do with work whose turn it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Start it.
+    Start(RequestKey),
+    /// Refuse it: its deadline can't be met any more.
+    Expire(RequestKey),
+}
+
+/// Work that waits in the order of its deadlines.
+type Queue = BTreeMap<(Moment, u64), Work>;
+
+/// Admission by expected work: short work in the order of its deadlines, long
+/// work on some of the slots only, and neither past its usefulness.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    slots: usize,
+    costs: Costs,
+    short: Queue,
+    long: Queue,
+    running: HashMap<RequestKey, Running>,
+    arrivals: u64,
+}
+
+impl Admission {
+    /// Opens the admission before `slots` slots.
+    pub fn open(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1) as usize,
+            costs: Costs::default(),
+            short: BTreeMap::new(),
+            long: BTreeMap::new(),
+            running: HashMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Follows a change of the number of slots.
+    pub fn resize(&mut self, slots: u32) {
+        self.slots = slots.max(1) as usize;
+    }
+
+    /// Queues work.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the queue is full or the deadline can't be met.
+    pub fn offer(
+        &mut self,
+        key: RequestKey,
+        path: &Name,
+        deadline: Moment,
+        now: Moment,
+    ) -> Result<(), Reason> {
+        if self.short.len() + self.long.len() >= self.slots * QUEUED_PER_SLOT {
+            return Err(Reason::QueueFull);
+        }
+        let expected = self.costs.expected(path);
+        if now + self.wait(path, deadline, now) + expected > deadline {
+            return Err(Reason::Deadline);
+        }
+        self.arrivals += 1;
+        let work = Work { key, path: path.clone(), expected };
+        let queue = if self.costs.is_long(path) { &mut self.long } else { &mut self.short };
+        queue.insert((deadline, self.arrivals), work);
+        Ok(())
+    }
+
+    /// Returns the next piece of work whose turn it is, if a slot is free.
+    pub fn next(&mut self, now: Moment) -> Option<Turn> {
+        if self.running.len() >= self.slots {
+            return None;
+        }
+        let long = self.running_long() < self.long_slots() && !self.long.is_empty();
+        // Long work goes first up to its share of the slots, or a steady
+        // stream of short work would starve it.
+        let queue = if long { &mut self.long } else { &mut self.short };
+        let ((deadline, _), work) = queue.pop_first()?;
+        if now + work.expected > deadline {
+            return Some(Turn::Expire(work.key));
+        }
+        let Work { key, path, expected } = work;
+        self.running.insert(key, Running { path, long, since: now, expected });
+        Some(Turn::Start(key))
+    }
+
+    /// Frees the slot of finished work; `measured` is false where its time
+    /// says nothing about the path.
+    pub fn done(&mut self, key: &RequestKey, measured: bool, now: Moment) {
+        if let Some(run) = self.running.remove(key).filter(|_| measured) {
+            self.costs.learn(&run.path, now.since(run.since));
+        }
+    }
+
+    /// Returns the expected time until work on `path` queued now would end.
+    pub fn completion(&self, path: &Name, now: Moment) -> Duration {
+        // A far deadline puts the work behind all that is queued.
+        self.wait(path, Moment(u64::MAX), now) + self.costs.expected(path)
+    }
+
+    /// Returns the expected wait of typical short work queued now.
+    pub fn backlog(&self, now: Moment) -> Duration {
+        self.wait_short(Moment(u64::MAX), now)
+    }
+
+    /// Returns the service time of typical work.
+    pub fn pace(&self) -> Duration {
+        self.costs.typical()
+    }
+
+    /// Returns the numbers of queued and running pieces of work.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.short.len() + self.long.len(), self.running.len())
+    }
+
+    fn wait(&self, path: &Name, deadline: Moment, now: Moment) -> Duration {
+        if self.costs.is_long(path) {
+            self.wait_long(deadline, now)
+        } else {
+            self.wait_short(deadline, now)
+        }
+    }
+
+    fn wait_short(&self, deadline: Moment, now: Moment) -> Duration {
+        let slots = self.slots - self.running_long().min(self.slots - 1);
+        self.wait_in(&self.short, slots, false, deadline, now)
+    }
+
+    fn wait_long(&self, deadline: Moment, now: Moment) -> Duration {
+        self.wait_in(&self.long, self.long_slots(), true, deadline, now)
+    }
+
+    fn wait_in(
+        &self,
+        queue: &Queue,
+        slots: usize,
+        long: bool,
+        deadline: Moment,
+        now: Moment,
+    ) -> Duration {
+        let running = self.running.values().filter(|r| r.long == long);
+        let busy = running.clone().count();
+        let left: Duration = running.map(|r| r.expected.saturating_sub(now.since(r.since))).sum();
+        let ahead: Duration = queue.range(..(deadline, u64::MAX)).map(|(_, w)| w.expected).sum();
+        if ahead.is_zero() && busy < slots {
+            return Duration::ZERO;
+        }
+        (left + ahead) / slots as u32
+    }
+
+    fn running_long(&self) -> usize {
+        self.running.values().filter(|r| r.long).count()
+    }
+
+    /// Returns the slots that long work may hold: never all, if there are two.
+    fn long_slots(&self) -> usize {
+        (self.slots / 2).max(1)
+    }
+}
--- /dev/null
+++ b/lib/src/request/ballot.rs
@@ -0,0 +1,96 @@
+//! The votes that an agent has gathered for one request.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::grant::Holder;
+use super::key::RequestKey;
+use crate::process::incarnation::Incarnation;
+use crate::process::name::Name;
+use crate::version::joint::Joint;
+use crate::version::membership::Membership;
+
+/// Witnesses of a request, fewer where the service has fewer members.
+pub const WITNESSES: usize = 3;
+
+/// Votes for one request under every membership that is still open.
+#[derive(Clone, Debug)]
+pub struct Ballot {
+    key: RequestKey,
+    memberships: Vec<Arc<Membership>>,
+    votes: BTreeMap<Name, Incarnation>,
+    against: BTreeMap<Name, Holder>,
+}
+
+impl Ballot {
+    /// Opens a ballot under all memberships of `joint`.
+    pub fn open(key: RequestKey, joint: &Joint) -> Self {
+        let memberships = joint.all().cloned().collect();
+        Self { key, memberships, votes: BTreeMap::new(), against: BTreeMap::new() }
+    }
+
+    /// Returns the revisions of the memberships that the ballot counts under.
+    pub fn revisions(&self) -> Vec<u64> {
+        self.memberships.iter().map(|m| m.revision).collect()
+    }
+
+    /// Takes in memberships that were opened since.
+    pub fn extend(&mut self, joint: &Joint) {
+        let known = self.revisions();
+        let new = joint.all().filter(|m| !known.contains(&m.revision));
+        self.memberships.extend(new.cloned());
+    }
+
+    /// Counts the vote of one run of a witness.
+    pub fn vote(&mut self, witness: Name, run: Incarnation) {
+        self.votes.insert(witness, run);
+    }
+
+    /// Counts the vote of a witness that granted the request to `holder`.
+    pub fn vote_against(&mut self, witness: Name, holder: Holder) {
+        self.against.insert(witness, holder);
+    }
+
+    /// Returns the holder that most witnesses name, once no majority is left.
+    pub fn lost_to(&self) -> Option<Holder> {
+        let hopeless = |m: &Arc<Membership>| {
+            let names = witnesses(m, &self.key);
+            let against = names.iter().filter(|n| self.against.contains_key(*n)).count();
+            names.len() - against <= names.len() / 2
+        };
+        if !self.memberships.iter().any(hopeless) {
+            return None;
+        }
+        let holders = self.against.values();
+        holders.max_by_key(|h| self.against.values().filter(|o| o == h).count()).cloned()
+    }
+
+    /// Drops the vote of a witness that has since been restarted.
+    pub fn drop_vote(&mut self, witness: &Name, run: Incarnation) {
+        if self.votes.get(witness).is_some_and(|r| *r < run) {
+            self.votes.remove(witness);
+        }
+    }
+
+    /// Returns the witnesses that have not voted.
+    pub fn missing(&self) -> BTreeSet<Name> {
+        let all = self.memberships.iter().flat_map(|m| witnesses(m, &self.key));
+        all.filter(|n| !self.votes.contains_key(n) && !self.against.contains_key(n)).collect()
+    }
+
+    /// Returns whether a majority of the witnesses of every membership voted.
+    pub fn is_held(&self) -> bool {
+        self.memberships.iter().all(|m| {
+            let names = witnesses(m, &self.key);
+            let votes = names.iter().filter(|n| self.votes.contains_key(*n)).count();
+            !names.is_empty() && votes > names.len() / 2
+        })
+    }
+}
+
+/// Returns the witnesses of `key` under `membership`.
+pub fn witnesses(membership: &Membership, key: &RequestKey) -> Vec<Name> {
+    let ranks = membership.ranks(key.hash(), WITNESSES);
+    ranks.into_iter().map(|b| b.name.clone()).collect()
+}
--- /dev/null
+++ b/lib/src/request/exchange.rs
@@ -0,0 +1,76 @@
+//! A request and everything this agent knows of its outcome.
+
+use super::answer::Answer;
+use super::key::RequestKey;
+use super::run::Asking;
+use super::run::Held;
+use super::run::Run;
+use super::run::Started;
+use crate::process::action::Action;
+use crate::process::context::Context;
+use crate::process::message::Message;
+use crate::process::message::Mode;
+use crate::process::message::Pass;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Where a request stands.
+#[derive(Clone, Debug)]
+pub enum Stage {
+    /// Votes are being gathered.
+    Asking(Run<Asking>),
+    /// It waits for a slot.
+    Queued(Run<Held>),
+    /// The backend server works on it.
+    Running(Run<Started>),
+    /// A peer has it.
+    Lent(Name),
+    /// It is answered; the answer is kept for retransmissions.
+    Done(Answer),
+}
+
+/// A request, kept for one request lifetime.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// Where it stands.
+    pub stage: Stage,
+    /// Its last transmission.
+    pub pass: Pass,
+    /// When it was first seen.
+    pub since: Moment,
+    /// Whether it was handed over by a peer, and so is not handed on.
+    pub lent: bool,
+}
+
+impl Exchange {
+    /// Returns whether the peer that took the request is presumed dead, so that
+    /// a retransmission has to be served anew; grants keep it from running twice.
+    pub fn is_stranded(&self, context: &Context) -> bool {
+        match &self.stage {
+            Stage::Lent(peer) => !self.lent && !context.peers.alive(peer),
+            _ => false,
+        }
+    }
+
+    /// Takes in a retransmission: its answer is sent again, or it is passed
+    /// on to the peer that has it.
+    pub fn repeat(&mut self, context: &mut Context, key: RequestKey, pass: Pass) {
+        match &self.stage {
+            Stage::Done(answer) => {
+                context.count(Reason::Replayed);
+                let (via, answer) = (pass.via.clone(), answer.clone());
+                context.act(Action::Answer { via, flow: key.flow, id: key.id, answer });
+            }
+            // Both agents believe that the other one has it.
+            Stage::Lent(_) if pass.mode == Mode::Lend => context.count(Reason::HeldElsewhere),
+            Stage::Lent(peer) => {
+                let hops = pass.hops + 1;
+                let lent = Pass { mode: Mode::Lend, hops, ..pass.clone() };
+                context.send(&peer.clone(), Message::Pass(lent));
+            }
+            _ => context.count(Reason::Duplicate),
+        }
+        self.pass = pass;
+    }
+}
--- /dev/null
+++ b/lib/src/request/grant.rs
@@ -0,0 +1,28 @@
+//! What a witness remembers of a request.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::key::RequestKey;
+use crate::process::incarnation::Incarnation;
+use crate::process::name::Name;
+
+/// One run of an agent that may run a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The agent.
+    pub agent: Name,
+    /// Its run; a restarted agent has lost what it held.
+    pub run: Incarnation,
+}
+
+/// A granted request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The request.
+    pub key: RequestKey,
+    /// Who may run it.
+    pub holder: Holder,
+    /// Whether the holder itself says that it has its majority.
+    pub held: bool,
+}
--- /dev/null
+++ b/lib/src/request/mod.rs
@@ -0,0 +1,16 @@
+//! State that lives as long as one request.
+
+pub mod admission;
+pub mod answer;
+pub mod ballot;
+pub mod budget;
+pub mod cost;
+pub mod exchange;
+pub mod grant;
+pub mod key;
+pub mod message;
+pub mod requests;
+pub mod run;
+pub mod token;
+pub mod votes;
+pub mod witness;
--- /dev/null
+++ b/lib/src/request/requests.rs
@@ -0,0 +1,495 @@
+//! The requests that one agent works on, and the answers it keeps.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::admission::Admission;
+use super::admission::Turn;
+use super::answer::Answer;
+use super::answer::Code;
+use super::ballot::Ballot;
+use super::ballot::witnesses;
+use super::budget::Budget;
+use super::exchange::Exchange;
+use super::exchange::Stage;
+use super::grant::Grant;
+use super::key::RequestKey;
+use super::message::Request;
+use super::run::Asking;
+use super::run::Held;
+use super::run::Run;
+use super::run::Started;
+use super::votes::Votes;
+use super::witness::Vote;
+use crate::process::action::Action;
+use crate::process::context::Context;
+use crate::process::incarnation::Incarnation;
+use crate::process::message::Message;
+use crate::process::message::Mode;
+use crate::process::message::Pass;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Requests kept at most; further ones are dropped, none is forgotten early.
+pub const MAX_EXCHANGES: usize = 65_536;
+/// Time after which a silent witness is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+/// Time beyond its deadline that a backend server is given for an answer.
+const GRACE: Duration = Duration::from_millis(500);
+/// Gain in completion time that makes up for handing work to a peer.
+const LEND_MARGIN: Duration = Duration::from_millis(2);
+
+/// Request decisions of one agent.
+#[derive(Debug)]
+pub struct Requests {
+    exchanges: HashMap<RequestKey, Exchange>,
+    order: VecDeque<(Moment, RequestKey)>,
+    active: BTreeSet<RequestKey>,
+    numbers: HashMap<u64, RequestKey>,
+    next: u64,
+    admission: Admission,
+    budget: Budget,
+}
+
+impl Requests {
+    /// Opens without requests, before a backend server with `slots` slots.
+    ///
+    /// Numbers start from the incarnation, so no run uses one of an earlier run.
+    pub fn open(run: Incarnation, slots: u32) -> Self {
+        Self {
+            exchanges: HashMap::new(),
+            order: VecDeque::new(),
+            active: BTreeSet::new(),
+            numbers: HashMap::new(),
+            next: run.0 << 8,
+            admission: Admission::open(slots),
+            budget: Budget::open(),
+        }
+    }
+
+    /// Returns the admission.
+    pub fn admission(&mut self) -> &mut Admission {
+        &mut self.admission
+    }
+
+    /// Returns the number of requests that are not answered yet.
+    pub fn open_count(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Returns the number of requests kept.
+    pub fn len(&self) -> usize {
+        self.exchanges.len()
+    }
+
+    /// Returns whether no request is kept.
+    pub fn is_empty(&self) -> bool {
+        self.exchanges.is_empty()
+    }
+
+    /// Draws a number that was never used.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Takes in a transmission of a request.
+    pub fn receive(
+        &mut self,
+        context: &mut Context,
+        votes: &mut Votes,
+        pass: Pass,
+        request: Request,
+        now: Moment,
+    ) {
+        let key = RequestKey { flow: pass.header.flow, id: request.id };
+        if let Some(exchange) = self.exchanges.get_mut(&key).filter(|e| !e.is_stranded(context)) {
+            exchange.repeat(context, key, pass);
+            return;
+        }
+        if self.exchanges.len() >= MAX_EXCHANGES {
+            context.count(Reason::RequestsFull);
+            return;
+        }
+        self.budget.earn();
+        let lent = pass.mode == Mode::Lend;
+        if !lent && let Some(peer) = self.lender(context, &request.path, now) {
+            context.count(Reason::Lent);
+            context.peers.hand(&peer);
+            self.lend(context, key, pass, peer, now);
+            return;
+        }
+        let deadline = now + self.deadline(context, &request.path);
+        if request.method.is_idempotent() {
+            self.insert(key, Stage::Queued(Run::idempotent(request, deadline)), pass, now);
+            self.admit(context, key, now);
+            return;
+        }
+        let ballot = Ballot::open(key, &context.joint);
+        let run = Run::open(request, deadline, ballot, now);
+        self.insert(key, Stage::Asking(run), pass, now);
+        self.ask(context, votes, key, now);
+    }
+
+    /// Takes in a witness's vote.
+    pub fn voted(
+        &mut self,
+        context: &mut Context,
+        witness: &Name,
+        run: Incarnation,
+        key: RequestKey,
+        vote: Vote,
+        now: Moment,
+    ) {
+        let Some(Stage::Asking(asking)) = self.exchanges.get_mut(&key).map(|e| &mut e.stage) else {
+            return;
+        };
+        if now >= asking.deadline {
+            return;
+        }
+        match vote {
+            Vote::Granted => asking.state.ballot.vote(witness.clone(), run),
+            Vote::Held(h) if h.agent == context.me && h.run == context.run => {}
+            Vote::Held(h) => asking.state.ballot.vote_against(witness.clone(), h),
+            Vote::Abstained => {}
+        }
+        self.count_votes(context, key, now);
+    }
+
+    /// Follows a change of the open memberships.
+    pub fn joint_changed(&mut self, context: &mut Context) {
+        for key in &self.active {
+            if let Some(Stage::Asking(asking)) = self.exchanges.get_mut(key).map(|e| &mut e.stage) {
+                asking.state.ballot.extend(&context.joint);
+                asking.state.asked = Moment(0);
+            }
+        }
+    }
+
+    /// Drops votes that a restarted witness has forgotten.
+    pub fn restarted(&mut self, witness: &Name, run: Incarnation) {
+        for key in &self.active {
+            if let Some(Stage::Asking(asking)) = self.exchanges.get_mut(key).map(|e| &mut e.stage) {
+                asking.state.ballot.drop_vote(witness, run);
+            }
+        }
+    }
+
+    /// Takes in the backend server's answer to the request with number `id`.
+    ///
+    /// Returns false if no request waits for it.
+    pub fn answered(
+        &mut self,
+        context: &mut Context,
+        id: u64,
+        answer: Answer,
+        now: Moment,
+    ) -> bool {
+        let Some(key) = self.numbers.remove(&id) else {
+            return false;
+        };
+        let Some(run) = self.take_running(&key) else {
+            return false;
+        };
+        let shed = matches!(answer.code, Code::NotRun(_));
+        self.admission.done(&key, !shed, now);
+        if shed {
+            self.shed(context, key, run, now);
+        } else {
+            self.finish(context, key, run.finish(answer));
+        }
+        self.pump(context, now);
+        true
+    }
+
+    /// Returns the majorities that this agent holds and `concerns` selects.
+    pub fn held(&self, context: &Context, concerns: impl Fn(&RequestKey) -> bool) -> Vec<Grant> {
+        let held = |e: &Exchange| match &e.stage {
+            Stage::Queued(run) => !run.request.method.is_idempotent(),
+            Stage::Running(run) => !run.request.method.is_idempotent(),
+            Stage::Done(_) => true,
+            Stage::Asking(_) | Stage::Lent(_) => false,
+        };
+        let keys = self.exchanges.iter().filter(|(k, e)| held(e) && concerns(k)).map(|(k, _)| *k);
+        let grant = |key| Grant { key, holder: context.holder(), held: true };
+        let mut grants: Vec<_> = keys.map(grant).collect();
+        grants.sort_by_key(|g| g.key);
+        grants
+    }
+
+    /// Repeats, gives up and forgets what is due.
+    pub fn sweep(&mut self, context: &mut Context, votes: &mut Votes, now: Moment) {
+        for key in self.active.clone() {
+            let Some(exchange) = self.exchanges.get_mut(&key) else { continue };
+            match &exchange.stage {
+                Stage::Asking(run) if now >= run.deadline => {
+                    self.give_up(context, key, Reason::NoMajority);
+                }
+                Stage::Asking(run) if now.since(run.state.asked) >= ASK_AGAIN => {
+                    context.count(Reason::RetryGrant);
+                    self.ask(context, votes, key, now);
+                }
+                Stage::Running(run) if now >= run.deadline + GRACE => {
+                    self.lose(context, key, now);
+                }
+                _ => {}
+            }
+        }
+        self.pump(context, now);
+        self.forget(context, now);
+    }
+
+    /// Starts queued work while slots are free.
+    pub fn pump(&mut self, context: &mut Context, now: Moment) {
+        while let Some(turn) = self.admission.next(now) {
+            match turn {
+                Turn::Start(key) => self.start(context, key, now),
+                Turn::Expire(key) => self.refuse(context, key, Reason::Expired, now),
+            }
+        }
+        context.health.backlog = micros(self.admission.backlog(now));
+        context.health.pace = micros(self.admission.pace());
+    }
+
+    // A peer that would complete the work clearly sooner, or any that takes
+    // work if this agent does not.
+    fn lender(&self, context: &mut Context, path: &Name, now: Moment) -> Option<Name> {
+        let names = context.candidates();
+        let (peer, theirs) = context.peers.better_of_two(&names, &mut context.rng)?;
+        if !context.takes_work() {
+            return Some(peer);
+        }
+        let mine = self.admission.completion(path, now);
+        (Duration::from_micros(theirs) + LEND_MARGIN < mine).then_some(peer)
+    }
+
+    fn lend(
+        &mut self,
+        context: &mut Context,
+        key: RequestKey,
+        pass: Pass,
+        peer: Name,
+        now: Moment,
+    ) {
+        let hops = pass.hops + 1;
+        let lent = Pass { mode: Mode::Lend, hops, ..pass.clone() };
+        context.send(&peer, Message::Pass(lent));
+        self.active.remove(&key);
+        self.insert(key, Stage::Lent(peer), pass, now);
+    }
+
+    fn deadline(&self, context: &Context, path: &Name) -> Duration {
+        let service = context.manifest.service(&context.joint.current().service);
+        service.map_or(crate::version::doc::DEFAULT_DEADLINE, |s| s.doc.deadline(path.as_str()))
+    }
+
+    fn insert(&mut self, key: RequestKey, stage: Stage, pass: Pass, now: Moment) {
+        if !matches!(stage, Stage::Lent(_) | Stage::Done(_)) {
+            self.active.insert(key);
+        }
+        let lent = pass.mode == Mode::Lend;
+        let exchange = Exchange { stage, pass, since: now, lent };
+        if self.exchanges.insert(key, exchange).is_none() {
+            self.order.push_back((now, key));
+        }
+    }
+
+    /// Asks the witnesses that have not voted, this agent's own vote among them.
+    fn ask(&mut self, context: &mut Context, votes: &mut Votes, key: RequestKey, now: Moment) {
+        let Some(Stage::Asking(asking)) = self.exchanges.get_mut(&key).map(|e| &mut e.stage) else {
+            return;
+        };
+        asking.state.asked = now;
+        if context.joint.is_full() {
+            return;
+        }
+        let revisions = asking.state.ballot.revisions();
+        let missing = asking.state.ballot.missing();
+        let holder = context.holder();
+        let me = context.me.clone();
+        for witness in missing.iter().filter(|w| **w != me) {
+            let revisions = revisions.clone();
+            context.send(witness, Message::Elect { key, holder: holder.clone(), revisions });
+        }
+        if missing.contains(&me)
+            && let Ok(vote) = votes.elect(context, key, &holder, &revisions, now)
+        {
+            let run = context.run;
+            self.voted(context, &me, run, key, vote, now);
+        }
+    }
+
+    fn count_votes(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
+        let Some(asking) = self.take_asking(&key) else { return };
+        match asking.hold() {
+            Ok(run) => {
+                self.put(key, Stage::Queued(run));
+                self.admit(context, key, now);
+            }
+            Err(run) => match run.state.ballot.lost_to() {
+                Some(holder) => self.yield_to(context, key, *run, holder.agent, now),
+                None => self.put(key, Stage::Asking(*run)),
+            },
+        }
+    }
+
+    // Another agent has the request: it answers, unless it had to be asked
+    // already and this agent was asked in turn.
+    fn yield_to(
+        &mut self,
+        context: &mut Context,
+        key: RequestKey,
+        run: Run<Asking>,
+        holder: Name,
+        now: Moment,
+    ) {
+        let pass = self.exchanges.get(&key).map(|e| (e.lent, e.pass.clone()));
+        match pass {
+            Some((false, pass)) if holder != context.me => {
+                self.lend(context, key, pass, holder, now);
+            }
+            _ => self.finish(context, key, run.give_up(Reason::HeldElsewhere)),
+        }
+    }
+
+    fn admit(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
+        let Some(Stage::Queued(run)) = self.exchanges.get(&key).map(|e| &e.stage) else {
+            return;
+        };
+        let offered = if context.told_health().leaving {
+            Err(Reason::Leaving)
+        } else {
+            self.admission.offer(key, &run.request.path, run.deadline, now)
+        };
+        match offered {
+            Ok(()) => self.pump(context, now),
+            Err(reason) => self.refuse(context, key, reason, now),
+        }
+    }
+
+    fn start(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
+        let Some(run) = self.take_queued(&key) else {
+            self.admission.done(&key, false, now);
+            return;
+        };
+        let id = self.number();
+        let (request, deadline) = (run.request.clone(), run.deadline);
+        self.numbers.insert(id, key);
+        self.put(key, Stage::Running(run.start(id, now)));
+        context.act(Action::Run { id, request, deadline });
+    }
+
+    fn refuse(&mut self, context: &mut Context, key: RequestKey, reason: Reason, now: Moment) {
+        let Some(run) = self.take_queued(&key) else { return };
+        context.count(reason);
+        if run.request.method.is_idempotent() && self.retry(context, key, now) {
+            return;
+        }
+        self.finish(context, key, run.refuse(reason));
+    }
+
+    // The backend server said that it did not start the work.
+    fn shed(&mut self, context: &mut Context, key: RequestKey, run: Run<Started>, now: Moment) {
+        context.count(Reason::Shed);
+        let idempotent = run.request.method.is_idempotent();
+        if idempotent && self.retry(context, key, now) {
+            return;
+        }
+        self.finish(context, key, run.take_back().refuse(Reason::Shed));
+    }
+
+    /// Hands idempotent work to a peer, within the retry budget.
+    fn retry(&mut self, context: &mut Context, key: RequestKey, now: Moment) -> bool {
+        let Some((false, pass)) = self.exchanges.get(&key).map(|e| (e.lent, e.pass.clone())) else {
+            return false;
+        };
+        let names = context.candidates();
+        let Some((peer, _)) = context.peers.better_of_two(&names, &mut context.rng) else {
+            return false;
+        };
+        if !self.budget.spend() {
+            context.count(Reason::RetryBudget);
+            return false;
+        }
+        context.count(Reason::RetryElsewhere);
+        self.lend(context, key, pass, peer, now);
+        true
+    }
+
+    fn lose(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
+        let Some(run) = self.take_running(&key) else { return };
+        let id = run.state.id;
+        self.numbers.remove(&id);
+        // A lost answer says that the path takes at least this long.
+        self.admission.done(&key, true, now);
+        context.count(Reason::AnswerLost);
+        context.act(Action::Cancel { id });
+        self.finish(context, key, run.lose(Reason::AnswerLost));
+    }
+
+    fn give_up(&mut self, context: &mut Context, key: RequestKey, reason: Reason) {
+        let Some(run) = self.take_asking(&key) else { return };
+        context.count(reason);
+        self.finish(context, key, run.give_up(reason));
+    }
+
+    fn finish(&mut self, context: &mut Context, key: RequestKey, answer: Answer) {
+        self.active.remove(&key);
+        if let Some(exchange) = self.exchanges.get_mut(&key) {
+            let (via, flow) = (exchange.pass.via.clone(), key.flow);
+            let action = Action::Answer { via, flow, id: key.id, answer: answer.clone() };
+            context.act(action);
+            exchange.stage = Stage::Done(answer);
+        }
+    }
+
+    fn forget(&mut self, context: &Context, now: Moment) {
+        let lifetime = context.joint.lifetime();
+        while let Some((at, key)) = self.order.front().copied() {
+            if now.since(at) <= lifetime || self.active.contains(&key) {
+                break;
+            }
+            self.exchanges.remove(&key);
+            self.order.pop_front();
+        }
+    }
+
+    fn put(&mut self, key: RequestKey, stage: Stage) {
+        if let Some(exchange) = self.exchanges.get_mut(&key) {
+            exchange.stage = stage;
+        }
+    }
+
+    fn take_asking(&mut self, key: &RequestKey) -> Option<Run<Asking>> {
+        match &self.exchanges.get(key)?.stage {
+            Stage::Asking(run) => Some(run.clone()),
+            _ => None,
+        }
+    }
+
+    fn take_queued(&mut self, key: &RequestKey) -> Option<Run<Held>> {
+        match &self.exchanges.get(key)?.stage {
+            Stage::Queued(run) => Some(run.clone()),
+            _ => None,
+        }
+    }
+
+    fn take_running(&mut self, key: &RequestKey) -> Option<Run<Started>> {
+        match &self.exchanges.get(key)?.stage {
+            Stage::Running(run) => Some(run.clone()),
+            _ => None,
+        }
+    }
+}
+
+/// Returns whether `witness` is a witness of `key` under an open membership.
+pub fn concerns(context: &Context, witness: &Name, key: &RequestKey) -> bool {
+    context.joint.all().any(|m| witnesses(m, key).contains(witness))
+}
+
+fn micros(d: Duration) -> u32 {
+    u32::try_from(d.as_micros()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/lib/src/request/token.rs
@@ -0,0 +1,11 @@
+//! Tokens that match answers to requests.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A caller's token: up to eight bytes that mean nothing to anyone else.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Token(pub Arc<[u8]>);
--- /dev/null
+++ b/lib/src/request/witness.rs
@@ -0,0 +1,139 @@
+//! A witness: it grants each request to the first agent that asks.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::grant::Grant;
+use super::grant::Holder;
+use super::key::RequestKey;
+use crate::process::moment::Moment;
+
+/// Grants remembered at most; further requests are refused, none is forgotten.
+pub const MAX_GRANTS: usize = 200_000;
+
+/// Just started: earlier grants are forgotten, so nothing is granted.
+#[derive(Clone, Copy, Debug)]
+pub struct Abstaining {
+    until: Moment,
+}
+
+/// One request lifetime old, or brought up to date by every peer.
+#[derive(Clone, Copy, Debug)]
+pub struct Granting;
+
+/// A witness's answer to an agent that asks for a grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Vote {
+    /// The agent may run the request as far as this witness is concerned.
+    Granted,
+    /// Another agent, or an earlier run of this one, may run it.
+    Held(Holder),
+    /// The witness can't tell.
+    Abstained,
+}
+
+/// A witness in life cycle state `S`.
+#[derive(Debug)]
+pub struct Witness<S> {
+    state: S,
+    memory: Memory,
+}
+
+#[derive(Debug, Default)]
+struct Memory {
+    grants: HashMap<RequestKey, (Holder, bool)>,
+    order: VecDeque<(Moment, RequestKey)>,
+}
+
+impl Witness<Abstaining> {
+    /// Opens a witness that abstains for one request lifetime.
+    pub fn open(now: Moment, lifetime: Duration) -> Self {
+        Self { state: Abstaining { until: now + lifetime }, memory: Memory::default() }
+    }
+
+    /// Takes in a grant that a peer knows of.
+    ///
+    /// What a holder says of its own majority goes before what others granted.
+    pub fn learn(&mut self, grant: &Grant, now: Moment) {
+        let known = self.memory.grants.get(&grant.key);
+        let better = known.is_none_or(|(_, held)| grant.held && !held);
+        if better {
+            self.memory.insert(grant.key, grant.holder.clone(), grant.held, now);
+        }
+    }
+
+    /// Returns whether the abstention is over by time.
+    pub fn is_due(&self, now: Moment) -> bool {
+        now >= self.state.until
+    }
+
+    /// Extends the abstention.
+    pub fn extend(&mut self, longer: Duration) {
+        self.state.until = self.state.until + longer;
+    }
+
+    /// Starts granting.
+    pub fn grant(self) -> Witness<Granting> {
+        Witness { state: Granting, memory: self.memory }
+    }
+}
+
+impl Witness<Granting> {
+    /// Answers an agent that asks for a grant.
+    pub fn vote(&mut self, key: RequestKey, holder: &Holder, now: Moment) -> Vote {
+        match self.memory.grants.get(&key) {
+            Some((first, _)) if first == holder => Vote::Granted,
+            Some((first, _)) => Vote::Held(first.clone()),
+            None if self.memory.grants.len() >= MAX_GRANTS => Vote::Abstained,
+            None => {
+                self.memory.insert(key, holder.clone(), false, now);
+                Vote::Granted
+            }
+        }
+    }
+}
+
+impl<S> Witness<S> {
+    /// Returns the grants that `wanted` selects.
+    pub fn grants(&self, wanted: impl Fn(&RequestKey) -> bool) -> Vec<Grant> {
+        let grants = self.memory.grants.iter().filter(|(key, _)| wanted(key));
+        let mut grants: Vec<_> = grants
+            .map(|(key, (holder, held))| Grant { key: *key, holder: holder.clone(), held: *held })
+            .collect();
+        grants.sort_by_key(|g| g.key);
+        grants
+    }
+
+    /// Forgets grants older than one request lifetime.
+    pub fn expire(&mut self, now: Moment, lifetime: Duration) {
+        while let Some((at, key)) = self.memory.order.front() {
+            if now.since(*at) <= lifetime {
+                break;
+            }
+            self.memory.grants.remove(key);
+            self.memory.order.pop_front();
+        }
+    }
+
+    /// Returns the number of grants remembered.
+    pub fn len(&self) -> usize {
+        self.memory.grants.len()
+    }
+
+    /// Returns whether no grant is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.memory.grants.is_empty()
+    }
+}
+
+impl Memory {
+    fn insert(&mut self, key: RequestKey, holder: Holder, held: bool, now: Moment) {
+        if self.grants.insert(key, (holder, held)).is_none() {
+            self.order.push_back((now, key));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/version/findings.rs
@@ -0,0 +1,53 @@
+//! Findings of a check, collected with their places.
+
+use std::fmt;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Serialize;
+
+/// One thing that a check found wrong.
+#[derive(Clone, Debug, Display, PartialEq, Serialize)]
+#[display("{place}: {problem}")]
+pub struct Finding {
+    /// Where: a file and line, or a document and key.
+    pub place: String,
+    /// What is wrong there, and what would be right.
+    pub problem: String,
+}
+
+/// Everything that a check found wrong.
+#[derive(Clone, Debug, Default, Error, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Findings(#[error(not(source))] Vec<Finding>);
+
+impl Findings {
+    /// Adds a finding.
+    pub fn add(&mut self, place: impl fmt::Display, problem: impl fmt::Display) {
+        self.0.push(Finding { place: place.to_string(), problem: problem.to_string() });
+    }
+
+    /// Returns the findings in the order in which they were found.
+    pub fn list(&self) -> &[Finding] {
+        &self.0
+    }
+
+    /// Returns `value` if nothing was found.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings if there are any.
+    pub fn or<T>(self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, finding) in self.0.iter().enumerate() {
+            let gap = if i == 0 { "" } else { "\n" };
+            write!(f, "{gap}{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/src/version/index.rs
@@ -0,0 +1,18 @@
+//! The list of all documents of one version of the manifest.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::process::name::Name;
+
+/// The index of the manifest: what to read, and in which revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Index {
+    /// Version of the manifest; it only grows.
+    pub version: u64,
+    /// Revision of each service's document.
+    pub services: BTreeMap<Name, u64>,
+}
--- /dev/null
+++ b/lib/src/version/rank.rs
@@ -0,0 +1,57 @@
+//! Weighted rendezvous hashing.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::backend::Backend;
+
+/// Ranks members for a key; every process with the same members agrees.
+#[derive(Clone, Debug)]
+pub struct Ranking {
+    seats: Vec<Seat>,
+}
+
+#[derive(Clone, Debug)]
+struct Seat {
+    seed: u64,
+    weight: f64,
+}
+
+impl Ranking {
+    /// Opens a ranking of `members`.
+    pub fn open(members: &[Backend]) -> Self {
+        let seat = |b: &Backend| Seat {
+            seed: xxh3_64(b.name.as_str().as_bytes()),
+            weight: f64::from(b.weight),
+        };
+        Self { seats: members.iter().map(seat).collect() }
+    }
+
+    /// Returns the index of the member with the highest score.
+    pub fn home(&self, key: u64) -> Option<usize> {
+        let scores = self.seats.iter().enumerate().map(|(i, s)| (s.score(key), i));
+        scores.max_by(compare).map(|(_, i)| i)
+    }
+
+    /// Returns the indices of the `count` members with the highest scores.
+    pub fn first(&self, key: u64, count: usize) -> Vec<usize> {
+        let seats = self.seats.iter().enumerate();
+        let mut scores: Vec<_> = seats.map(|(i, s)| (s.score(key), i)).collect();
+        scores.sort_unstable_by(|a, b| compare(b, a));
+        scores.into_iter().take(count).map(|(_, i)| i).collect()
+    }
+}
+
+impl Seat {
+    // -w / ln(u) keeps each member's share proportional to its weight and moves
+    // only the keys whose winner changes.
+    fn score(&self, key: u64) -> f64 {
+        let hash = xxh3_64_with_seed(&key.to_le_bytes(), self.seed);
+        let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        -self.weight / unit.ln()
+    }
+}
+
+fn compare(a: &(f64, usize), b: &(f64, usize)) -> std::cmp::Ordering {
+    a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
+}
