--- /dev/null
+++ b/daemon/src/connection/agent.rs
@@ -0,0 +1,356 @@
+//! The traffic thread of an agent.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::owed::Owed;
+use lagoonhollow_lib::process::action::Action;
+use lagoonhollow_lib::process::agent::Agent;
+use lagoonhollow_lib::process::gossip::Gossip;
+use lagoonhollow_lib::process::gossip::Heard;
+use lagoonhollow_lib::process::incarnation::Incarnation;
+use lagoonhollow_lib::process::live::Live;
+use lagoonhollow_lib::process::message::Envelope;
+use lagoonhollow_lib::process::message::Message;
+use lagoonhollow_lib::process::message::Via;
+use lagoonhollow_lib::process::moment::Moment;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_wire::caller;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use tokio::sync::mpsc;
+
+use super::link::Link;
+use super::link::MAX_DATAGRAM;
+use crate::process::bridge::Command;
+use crate::process::bridge::Current;
+use crate::process::bridge::Report;
+use crate::process::bridge::Traffic;
+use crate::process::clock::Clock;
+use crate::process::metrics::Metrics;
+use crate::request::backend::Backend;
+
+/// Time between two rounds of what is due by time.
+const TICK: Duration = Duration::from_millis(20);
+/// Time that peers are given to learn of a planned stop.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// What the traffic thread of an agent is opened with.
+#[derive(Debug)]
+pub struct AgentOptions {
+    /// Name of the backend server.
+    pub me: Name,
+    /// This run.
+    pub run: Incarnation,
+    /// Address of the control endpoint.
+    pub control: SocketAddr,
+    /// Time for a planned stop.
+    pub drain: Duration,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// A traffic thread's state.
+struct Thread {
+    options: AgentOptions,
+    link: Link,
+    backend: Backend,
+    reports: mpsc::Sender<Report>,
+    agent: Option<Agent>,
+    gossip: Gossip,
+    owed: Owed,
+    live: Live,
+    rng: Pcg64Mcg,
+    version: u64,
+    stop: Option<Stop>,
+    health: (bool, bool),
+}
+
+/// A planned stop under way.
+struct Stop {
+    since: Moment,
+    handed: bool,
+}
+
+/// Runs the traffic thread until a planned stop is complete.
+///
+/// # Errors
+///
+/// Returns an error if a socket fails.
+pub async fn run(
+    options: AgentOptions,
+    link: Link,
+    backend: Backend,
+    traffic: Traffic,
+) -> io::Result<()> {
+    let Traffic { mut commands, reports, mut current } = traffic;
+    let now = options.clock.now();
+    let mut thread = Thread {
+        gossip: Gossip::open(options.me.clone(), options.control, now),
+        rng: Pcg64Mcg::seed_from_u64(options.run.0),
+        options,
+        link,
+        backend,
+        reports,
+        agent: None,
+        owed: Owed::default(),
+        live: Live::default(),
+        version: 0,
+        stop: None,
+        health: (false, false),
+    };
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut datagram, mut answer) = (vec![0; MAX_DATAGRAM], vec![0; MAX_DATAGRAM]);
+    let first = current.borrow_and_update().clone();
+    thread.enforce(first);
+    loop {
+        tokio::select! {
+            envelope = thread.link.receive(&mut datagram) => thread.message(envelope?),
+            (id, answer) = thread.backend.receive(&mut answer) => {
+                let now = thread.options.clock.now();
+                thread.with_agent(|agent| agent.backend(id, answer, now));
+            }
+            changed = current.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                let manifest = current.borrow_and_update().clone();
+                thread.enforce(manifest);
+            }
+            command = commands.recv() => match command {
+                Some(command) => thread.command(command),
+                None => return Ok(()),
+            },
+            _ = tick.tick() => {
+                thread.tick();
+                if thread.is_drained() {
+                    let _ = thread.reports.send(Report::Drained).await;
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+impl Thread {
+    fn with_agent(&mut self, decide: impl FnOnce(&mut Agent) -> Vec<Action>) {
+        if let Some(agent) = self.agent.as_mut() {
+            let actions = decide(agent);
+            self.carry_out(actions);
+        }
+    }
+
+    fn enforce(&mut self, manifest: Current) {
+        let Some(manifest) = manifest else { return };
+        self.version = manifest.version();
+        let now = self.options.clock.now();
+        if self.agent.is_some() {
+            self.with_agent(|agent| agent.enforce(manifest, now));
+        } else if let Some(service) = manifest.service_of(&self.options.me).cloned() {
+            let (me, run) = (self.options.me.clone(), self.options.run);
+            let agent = Agent::open(me, run, manifest, &service, run.0, now);
+            self.agent = Some(agent);
+        }
+    }
+
+    fn message(&mut self, envelope: Envelope) {
+        let now = self.options.clock.now();
+        let newer = envelope.version > self.version;
+        let from = envelope.from.clone();
+        match envelope.message {
+            Message::Pass(pass) => {
+                if pass.via.entry == from {
+                    self.owed.taken(&pass.via, now);
+                }
+                match caller::decode(&pass.raw) {
+                    Ok(content) => {
+                        self.with_agent(|agent| agent.packet(&from, pass, content, now));
+                    }
+                    Err(_) => self.options.metrics.count(Reason::Malformed),
+                }
+            }
+            Message::Gossip { control, notices } => {
+                for notice in notices {
+                    if self.gossip.spread(&notice)
+                        && let Some(agent) = self.agent.as_mut()
+                    {
+                        agent.notice(&notice);
+                    }
+                }
+                let heard = self.gossip.heard(self.version, envelope.version, control);
+                self.compare(&from, heard);
+                return;
+            }
+            message => {
+                let envelope = Envelope { message, ..envelope };
+                self.with_agent(|agent| agent.message(envelope, now));
+            }
+        }
+        if newer {
+            let backend = self.agent.as_ref().and_then(|a| a.context().backend(&from));
+            if let Some(control) = backend.map(|b| b.control) {
+                self.report(Report::Newer(control));
+            }
+        }
+    }
+
+    fn compare(&mut self, from: &Name, heard: Heard) {
+        match heard {
+            Heard::Same => {}
+            Heard::Pull(control) => self.report(Report::Newer(control)),
+            Heard::Tell => {
+                let message = self.gossip.message();
+                let known = self.agent.as_ref().and_then(|a| a.context().manifest.backend(from));
+                if let Some(link) = known.map(|b| b.link) {
+                    self.link.send(from, link, self.version, message);
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        let now = self.options.clock.now();
+        match command {
+            Command::Envelope(envelope) => self.message(envelope),
+            Command::Live(list) => self.read_live(&list),
+            Command::Health { leaving, cold } => {
+                self.health = (leaving, cold);
+                self.measure();
+            }
+            Command::Explain { flow, reply } => {
+                if let Some(agent) = self.agent.as_mut() {
+                    let _ = reply.send(agent.explain(&flow));
+                }
+            }
+            Command::Drain => {
+                self.stop.get_or_insert(Stop { since: now, handed: false });
+                self.measure();
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        let (leaving, cold) = self.health;
+        let stopping = self.stop.is_some();
+        if let Some(agent) = self.agent.as_mut() {
+            agent.measured(leaving || stopping, cold);
+        }
+    }
+
+    fn read_live(&mut self, list: &BTreeSet<Name>) {
+        let now = self.options.clock.now();
+        let Some(agent) = self.agent.as_mut() else { return };
+        let peers = &agent.context().peers;
+        let silent = peers.names().filter(|n| !peers.alive(n)).cloned().collect();
+        for name in self.live.read(list, &silent, now) {
+            spdlog::info!("vm_gone", kv: { agent: = name.as_str() });
+            agent.removed(&name, now);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.options.clock.now();
+        self.with_agent(|agent| agent.tick(now));
+        for via in self.owed.due(now) {
+            self.link.send(&via.entry, via.link, self.version, Message::Credit);
+        }
+        if self.stop.as_ref().is_some_and(|s| !s.handed && now.since(s.since) >= SETTLE) {
+            self.hand_over(now);
+        }
+        let Some(agent) = self.agent.as_mut() else { return };
+        self.options.metrics.add(&mut agent.take_tally());
+        self.options.metrics.show(&agent.gauges());
+        let manifest = agent.context().manifest.clone();
+        for peer in self.gossip.due(&manifest, &mut self.rng, now) {
+            let message = self.gossip.message();
+            self.link.send(&peer.name, peer.link, self.version, message);
+        }
+    }
+
+    fn hand_over(&mut self, now: Moment) {
+        let Some(agent) = self.agent.as_mut() else { return };
+        let (all, actions) = agent.hand_over(now);
+        self.carry_out(actions);
+        if let Some(stop) = self.stop.as_mut() {
+            stop.handed = all;
+        }
+    }
+
+    /// Returns whether a planned stop has nothing left to wait for.
+    fn is_drained(&mut self) -> bool {
+        let Some(stop) = &self.stop else { return false };
+        let now = self.options.clock.now();
+        if now.since(stop.since) >= self.options.drain {
+            return true;
+        }
+        let open = self.agent.as_mut().map_or(0, |a| a.gauges().requests);
+        // Handed over channels are given time to arrive and be claimed.
+        stop.handed && open == 0 && now.since(stop.since) >= SETTLE * 2
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(&to, message),
+                Action::Answer { via, flow, id, answer } => {
+                    self.reply(via, flow, caller::encode_answer(id, &answer));
+                }
+                Action::Notify { via, flow, id, answer } => {
+                    self.reply(via, flow, caller::encode_notify(id, &answer));
+                }
+                Action::Run { id, request, deadline } => {
+                    let left = deadline.since(self.options.clock.now());
+                    self.backend.run(id, &request, left);
+                }
+                Action::Cancel { id } => self.backend.cancel(id),
+                Action::Spread(notice) => {
+                    let agent = notice.agent.as_str();
+                    spdlog::info!("peer_state", kv: { agent, down = notice.down });
+                    self.gossip.spread(&notice);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, to: &Name, message: Message) {
+        let backend = self.agent.as_ref().and_then(|a| a.context().backend(to));
+        let Some((link, control)) = backend.map(|b| (b.link, b.control)) else {
+            self.options.metrics.count(Reason::NoBackend);
+            return;
+        };
+        if !message.is_bulk() {
+            self.link.send(to, link, self.version, message);
+        } else if let Some(sealed) = self.link.seal(to, self.version, message) {
+            self.report(Report::Bulk { control, sealed });
+        }
+    }
+
+    fn reply(
+        &mut self,
+        via: Via,
+        flow: lagoonhollow_lib::connection::flow::FlowKey,
+        raw: Result<Vec<u8>, lagoonhollow_wire::coap::CoapError>,
+    ) {
+        let Ok(raw) = raw else {
+            self.options.metrics.count(Reason::Malformed);
+            return;
+        };
+        self.owed.paid(&via);
+        self.options.metrics.answered.inc();
+        let message = Message::Reply { flow, raw: raw.into() };
+        self.link.send(&via.entry, via.link, self.version, message);
+    }
+
+    fn report(&self, report: Report) {
+        if self.reports.try_send(report).is_err() {
+            self.options.metrics.count(Reason::ChannelFull);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/connection/endpoint.rs
@@ -0,0 +1,117 @@
+//! Control connections between processes, over QUIC.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use lagoonhollow_wire::control::Call;
+use lagoonhollow_wire::control::MAX_CALL;
+use lagoonhollow_wire::control::Return;
+use lagoonhollow_wire::control::decode;
+use lagoonhollow_wire::control::encode;
+use lagoonhollow_wire::seal::FleetKey;
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::Incoming;
+
+use super::identity::Identity;
+use super::identity::SERVER_NAME;
+
+/// Time that one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call failed.
+#[derive(Debug, Display, Error)]
+pub enum EndpointError {
+    /// The endpoint can't be opened.
+    #[display("can't open the control endpoint: {_0}")]
+    Open(#[error(not(source))] String),
+    /// The peer does not answer, or not as a member of the fleet.
+    #[display("peer can't be reached: {_0}")]
+    Peer(#[error(not(source))] String),
+}
+
+/// The control endpoint of a process.
+#[derive(Clone, Debug)]
+pub struct Control {
+    endpoint: Endpoint,
+}
+
+impl Control {
+    /// Binds the endpoint to `address`, for members of the fleet with `key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound or TLS can't be set up.
+    pub fn bind(address: SocketAddr, key: &FleetKey) -> Result<Self, EndpointError> {
+        let identity = Identity::open(key).map_err(open_error)?;
+        let server = identity.server().map_err(open_error)?;
+        let mut endpoint = Endpoint::server(server, address).map_err(open_error)?;
+        endpoint.set_default_client_config(identity.client().map_err(open_error)?);
+        Ok(Self { endpoint })
+    }
+
+    /// Waits for the next connection; none once the endpoint is closed.
+    pub async fn accept(&self) -> Option<Incoming> {
+        self.endpoint.accept().await
+    }
+
+    /// Calls the process at `peer` and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer can't be reached in time.
+    pub async fn call(&self, peer: SocketAddr, call: &Call) -> Result<Return, EndpointError> {
+        let answer = tokio::time::timeout(CALL_TIMEOUT, self.exchange(peer, call)).await;
+        answer.map_err(|_| EndpointError::Peer("timeout".to_owned()))?
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        self.endpoint.close(0u32.into(), b"stopped");
+    }
+
+    async fn exchange(&self, peer: SocketAddr, call: &Call) -> Result<Return, EndpointError> {
+        let connecting = self.endpoint.connect(peer, SERVER_NAME).map_err(peer_error)?;
+        let connection = connecting.await.map_err(peer_error)?;
+        let (mut send, mut receive) = connection.open_bi().await.map_err(peer_error)?;
+        send.write_all(&encode(call).map_err(peer_error)?).await.map_err(peer_error)?;
+        send.finish().map_err(peer_error)?;
+        let bytes = receive.read_to_end(MAX_CALL).await.map_err(peer_error)?;
+        connection.close(0u32.into(), b"done");
+        decode(&bytes).map_err(peer_error)
+    }
+}
+
+/// Serves the calls of one connection until it is closed.
+///
+/// # Errors
+///
+/// Returns an error if the peer is no member of the fleet or sends no calls.
+pub async fn serve(
+    incoming: Incoming,
+    answer: impl AsyncFn(Call) -> Return,
+) -> Result<(), EndpointError> {
+    let connection = incoming.await.map_err(peer_error)?;
+    while let Some((mut send, mut receive)) = next(&connection).await {
+        let bytes = receive.read_to_end(MAX_CALL).await.map_err(peer_error)?;
+        let call = decode(&bytes).map_err(peer_error)?;
+        let bytes = encode(&answer(call).await).map_err(peer_error)?;
+        send.write_all(&bytes).await.map_err(peer_error)?;
+        send.finish().map_err(peer_error)?;
+    }
+    Ok(())
+}
+
+async fn next(connection: &Connection) -> Option<(quinn::SendStream, quinn::RecvStream)> {
+    connection.accept_bi().await.ok()
+}
+
+fn open_error(e: impl std::fmt::Display) -> EndpointError {
+    EndpointError::Open(e.to_string())
+}
+
+fn peer_error(e: impl std::fmt::Display) -> EndpointError {
+    EndpointError::Peer(e.to_string())
+}
--- /dev/null
+++ b/daemon/src/connection/entry.rs
@@ -0,0 +1,293 @@
+//! A traffic thread of an entry.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::door::Door;
+use lagoonhollow_lib::connection::flow::Header;
+use lagoonhollow_lib::process::gossip::Gossip;
+use lagoonhollow_lib::process::gossip::Heard;
+use lagoonhollow_lib::process::incarnation::Incarnation;
+use lagoonhollow_lib::process::message::Envelope;
+use lagoonhollow_lib::process::message::Message;
+use lagoonhollow_lib::process::message::Mode;
+use lagoonhollow_lib::process::message::Pass;
+use lagoonhollow_lib::process::message::Via;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::version::manifest::InForce;
+use lagoonhollow_lib::version::manifest::Manifest;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::link::Link;
+use super::link::MAX_DATAGRAM;
+use super::listener;
+use crate::process::bridge::Command;
+use crate::process::bridge::Report;
+use crate::process::bridge::Traffic;
+use crate::process::clock::Clock;
+use crate::process::metrics::Metrics;
+
+/// Time between two rounds of what is due by time.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for answers on their way after the service sockets are closed.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// What a traffic thread of an entry is opened with.
+#[derive(Debug)]
+pub struct EntryOptions {
+    /// Name of the entry.
+    pub me: Name,
+    /// This run.
+    pub run: Incarnation,
+    /// Address of the control endpoint.
+    pub control: SocketAddr,
+    /// Time for a planned stop.
+    pub drain: Duration,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// A traffic thread's state; it never leaves its thread.
+#[derive(Debug)]
+struct Entry {
+    options: EntryOptions,
+    link: Link,
+    via: Via,
+    reports: mpsc::Sender<Report>,
+    door: RefCell<Option<Door>>,
+    gossip: RefCell<Gossip>,
+    rng: RefCell<Pcg64Mcg>,
+    listeners: RefCell<HashMap<SocketAddr, Listener>>,
+    manifest: RefCell<Option<Arc<Manifest<InForce>>>>,
+}
+
+#[derive(Debug)]
+struct Listener {
+    socket: Rc<UdpSocket>,
+    task: JoinHandle<()>,
+}
+
+/// Runs a traffic thread until a planned stop is complete.
+///
+/// # Errors
+///
+/// Returns an error if the link fails.
+pub async fn run(options: EntryOptions, link: Link, traffic: Traffic) -> std::io::Result<()> {
+    let now = options.clock.now();
+    let via = Via { entry: options.me.clone(), link: link.address()? };
+    let Traffic { mut commands, reports, mut current } = traffic;
+    let entry = Rc::new(Entry {
+        gossip: RefCell::new(Gossip::open(options.me.clone(), options.control, now)),
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(options.run.0)),
+        options,
+        link,
+        via,
+        reports,
+        door: RefCell::new(None),
+        listeners: RefCell::new(HashMap::new()),
+        manifest: RefCell::new(None),
+    });
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut stop = None;
+    entry.enforce(current.borrow_and_update().clone());
+    loop {
+        tokio::select! {
+            envelope = entry.link.receive(&mut buffer) => entry.message(envelope?),
+            changed = current.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                entry.enforce(current.borrow_and_update().clone());
+            }
+            command = commands.recv() => match command {
+                // The fabric stops handing packets here once it sees that the
+                // entry is not ready, so everything is served until then.
+                Some(Command::Drain) => stop = Some(entry.options.clock.now() + entry.options.drain),
+                Some(_) => {}
+                None => return Ok(()),
+            },
+            _ = tick.tick() => entry.tick(),
+        }
+        if stop.is_some_and(|at| entry.options.clock.now() >= at) {
+            entry.close_listeners();
+            let relay = entry.relay(&mut buffer);
+            let _ = tokio::time::timeout(LINGER, relay).await;
+            let _ = entry.reports.send(Report::Drained).await;
+            return Ok(());
+        }
+    }
+}
+
+impl Entry {
+    fn enforce(self: &Rc<Self>, manifest: Option<Arc<Manifest<InForce>>>) {
+        let Some(manifest) = manifest else { return };
+        let mut door = self.door.borrow_mut();
+        match door.as_mut() {
+            Some(door) => door.enforce(manifest.clone()),
+            None => *door = Some(Door::open(manifest.clone())),
+        }
+        drop(door);
+        self.listen(&manifest);
+        *self.manifest.borrow_mut() = Some(manifest);
+    }
+
+    /// Follows the manifest's addresses with sockets.
+    fn listen(self: &Rc<Self>, manifest: &Manifest<InForce>) {
+        let mut listeners = self.listeners.borrow_mut();
+        listeners.retain(|address, listener| {
+            let kept = manifest.route(*address).is_some();
+            if !kept {
+                listener.task.abort();
+            }
+            kept
+        });
+        for service in manifest.services() {
+            let address = service.doc.address;
+            if listeners.contains_key(&address) {
+                continue;
+            }
+            match listener::bind(address) {
+                Ok(socket) => {
+                    let socket = Rc::new(socket);
+                    let take = self.clone().take(address, socket.clone());
+                    let task = tokio::task::spawn_local(take);
+                    listeners.insert(address, Listener { socket, task });
+                }
+                Err(e) => {
+                    let service = service.doc.service.as_str();
+                    spdlog::error!("bind_failed", kv: { service, address:, error: = e });
+                }
+            }
+        }
+    }
+
+    async fn take(self: Rc<Self>, address: SocketAddr, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            // An error here is that of an earlier packet to a caller that left.
+            if let Ok((length, caller)) = socket.recv_from(&mut buffer).await {
+                self.packet(Header::udp(caller, address), &buffer[..length]);
+            }
+        }
+    }
+
+    fn packet(&self, header: Header, raw: &[u8]) {
+        self.options.metrics.received.inc();
+        let mut door = self.door.borrow_mut();
+        let Some(door) = door.as_mut() else { return };
+        let target = door.forward(&header, self.options.clock.now());
+        if let Ok(target) = target {
+            let via = self.via.clone();
+            let pass = Pass { header, raw: raw.into(), via, mode: Mode::Route, hops: 0 };
+            self.link.send(&target.agent, target.link, door.version(), Message::Pass(pass));
+        }
+    }
+
+    fn message(&self, envelope: Envelope) {
+        let Envelope { from, version, message, .. } = envelope;
+        let mine = self.door.borrow().as_ref().map_or(0, Door::version);
+        if let Some(door) = self.door.borrow_mut().as_mut() {
+            door.credit(&from);
+        }
+        match message {
+            Message::Reply { flow, raw } => self.reply(flow.service, flow.caller, &raw),
+            Message::Gossip { control, notices } => {
+                for notice in &notices {
+                    self.notice(notice);
+                }
+                let heard = self.gossip.borrow().heard(mine, version, control);
+                self.compare(&from, heard);
+                return;
+            }
+            Message::Credit => {}
+            _ => self.options.metrics.count(Reason::WrongService),
+        }
+        if version > mine {
+            let manifest = self.manifest.borrow();
+            if let Some(backend) = manifest.as_ref().and_then(|m| m.backend(&from)) {
+                self.report(Report::Newer(backend.control));
+            }
+        }
+    }
+
+    fn reply(&self, service: SocketAddr, caller: SocketAddr, raw: &[u8]) {
+        let listeners = self.listeners.borrow();
+        let Some(listener) = listeners.get(&service) else {
+            self.options.metrics.count(Reason::NoService);
+            return;
+        };
+        self.options.metrics.answered.inc();
+        if listener.socket.try_send_to(raw, caller).is_err() {
+            self.options.metrics.count(Reason::ChannelFull);
+        }
+    }
+
+    fn notice(&self, notice: &lagoonhollow_lib::process::notice::Notice) {
+        let news = self.gossip.borrow_mut().spread(notice);
+        if let Some(door) = self.door.borrow_mut().as_mut().filter(|_| news) {
+            door.notice(notice.clone());
+        }
+    }
+
+    fn compare(&self, from: &Name, heard: Heard) {
+        match heard {
+            Heard::Same => {}
+            Heard::Pull(control) => self.report(Report::Newer(control)),
+            Heard::Tell => {
+                let manifest = self.manifest.borrow();
+                if let Some(manifest) = manifest.as_ref()
+                    && let Some(backend) = manifest.backend(from)
+                {
+                    let message = self.gossip.borrow_mut().message();
+                    self.link.send(from, backend.link, manifest.version(), message);
+                }
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.options.clock.now();
+        if let Some(door) = self.door.borrow_mut().as_mut() {
+            self.options.metrics.add(door.tally());
+        }
+        let manifest = self.manifest.borrow();
+        let Some(manifest) = manifest.as_ref() else { return };
+        let mut gossip = self.gossip.borrow_mut();
+        for backend in gossip.due(manifest, &mut *self.rng.borrow_mut(), now) {
+            let message = gossip.message();
+            self.link.send(&backend.name, backend.link, manifest.version(), message);
+        }
+    }
+
+    fn report(&self, report: Report) {
+        if self.reports.try_send(report).is_err() {
+            self.options.metrics.count(Reason::ChannelFull);
+        }
+    }
+
+    fn close_listeners(&self) {
+        for listener in self.listeners.borrow_mut().values() {
+            listener.task.abort();
+        }
+    }
+
+    async fn relay(&self, buffer: &mut [u8]) -> std::io::Result<()> {
+        loop {
+            let envelope = self.link.receive(buffer).await?;
+            self.message(envelope);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/process/admin.rs
@@ -0,0 +1,181 @@
+//! Admin HTTP: metrics, status and explanations.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::flow::FlowKey;
+use lagoonhollow_lib::connection::flow::Protocol;
+use lagoonhollow_lib::process::agent::Explained;
+use ntex::web;
+use ntex::web::HttpResponse;
+use ntex::web::types::Query;
+use ntex::web::types::State;
+use serde::Deserialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::bridge::Command;
+use super::metrics::Metrics;
+use super::settings::Role;
+use super::settings::Settings;
+use super::status::Explanation;
+use super::status::Status;
+use crate::version::versions::Versions;
+
+/// Ranks shown in an explanation.
+const SHOWN_RANKS: usize = 4;
+/// Time that a traffic thread is given to explain.
+const EXPLAIN: Duration = Duration::from_secs(1);
+
+/// What the admin server and the control thread share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: Settings,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The versions.
+    pub versions: Versions,
+    /// The queue to the first traffic thread.
+    pub traffic: mpsc::Sender<Command>,
+    // Only the control thread and the admin server take this lock.
+    state: Mutex<&'static str>,
+}
+
+impl Shared {
+    /// Opens in the state before the start.
+    pub fn open(
+        settings: Settings,
+        metrics: Arc<Metrics>,
+        versions: Versions,
+        traffic: mpsc::Sender<Command>,
+    ) -> Self {
+        Self { settings, metrics, versions, traffic, state: Mutex::new("starting") }
+    }
+
+    /// Shows the life cycle state.
+    pub fn set_state(&self, state: &'static str) {
+        *self.state.lock().unwrap_or_else(|e| e.into_inner()) = state;
+        self.metrics.ready.set((state == "serving").into());
+    }
+
+    /// Returns what operators are told.
+    pub fn status(&self) -> Status {
+        let role = match self.settings.role {
+            Role::Entry { .. } => "entry",
+            Role::Agent { .. } => "agent",
+        };
+        let gauges = self.metrics.gauges();
+        let held = [
+            ("flows", gauges.flows),
+            ("redirects", gauges.redirects),
+            ("lookups", gauges.lookups),
+            ("channels", gauges.channels),
+            ("requests", gauges.requests),
+            ("exchanges", gauges.exchanges),
+            ("grants", gauges.grants),
+            ("recovering", gauges.recovering.into()),
+            ("settled", gauges.settled.into()),
+        ];
+        let state = *self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let version = self.versions.number();
+        let reasons = self.metrics.reasons();
+        Status {
+            name: self.settings.name.to_string(),
+            role: role.to_owned(),
+            domain: self.settings.domain.to_string(),
+            state: state.to_owned(),
+            version,
+            ready: state == "serving" && version > 0,
+            held: held.map(|(name, n)| (name.to_owned(), n as u64)).into(),
+            reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+        }
+    }
+
+    async fn explain(&self, flow: FlowKey) -> Explanation {
+        let told = self.ask_traffic(flow).await;
+        let manifest = self.versions.current();
+        let service = manifest.as_ref().and_then(|m| m.route(flow.service));
+        let ranks = service.map(|s| s.membership.ranks(flow.hash(), SHOWN_RANKS));
+        let ranks: Vec<_> = ranks.into_iter().flatten().map(|b| b.name.to_string()).collect();
+        let home = ranks.first().cloned();
+        let owner = told.as_ref().and_then(|e| e.owner.as_ref());
+        let reason = match (&home, owner, &told) {
+            (None, _, _) => "no service holds the address".to_owned(),
+            (Some(home), Some(o), _) if o.owner.as_str() == home => {
+                format!("{home} has the first rank and owns the flow")
+            }
+            (Some(home), Some(o), _) => format!(
+                "{home} has the first rank; {} has owned the flow since {} us, {} moves",
+                o.owner, o.born, o.moves
+            ),
+            (Some(home), None, Some(_)) => {
+                format!("{home} has the first rank; this agent knows no owner")
+            }
+            (Some(home), None, None) => {
+                format!("{home} has the first rank; an entry keeps no flows, so ask its agent")
+            }
+        };
+        Explanation {
+            flow: format!("{} {}", flow.caller, flow.service),
+            version: self.versions.number(),
+            service: service.map(|s| s.doc.service.to_string()),
+            ranks,
+            owner: owner.map(|o| o.owner.to_string()),
+            reason,
+        }
+    }
+
+    async fn ask_traffic(&self, flow: FlowKey) -> Option<Explained> {
+        if !matches!(self.settings.role, Role::Agent { .. }) {
+            return None;
+        }
+        let (reply, answer) = oneshot::channel();
+        self.traffic.try_send(Command::Explain { flow, reply }).ok()?;
+        tokio::time::timeout(EXPLAIN, answer).await.ok()?.ok()
+    }
+}
+
+/// A flow as it is asked for.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct FlowQuery {
+    caller: SocketAddr,
+    service: SocketAddr,
+}
+
+/// Binds the admin server of a process.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub fn bind(shared: Arc<Shared>) -> io::Result<()> {
+    let address = shared.settings.admin;
+    let app = async move || {
+        web::App::new()
+            .state(shared.clone())
+            .service(web::resource("/metrics").route(web::get().to(metrics)))
+            .service(web::resource("/status").route(web::get().to(status)))
+            .service(web::resource("/explain").route(web::get().to(explain)))
+    };
+    web::server(app).workers(1).disable_signals().bind(address)?.run();
+    Ok(())
+}
+
+async fn metrics(shared: State<Arc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(shared.metrics.text())
+}
+
+async fn status(shared: State<Arc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok().json(&shared.status())
+}
+
+async fn explain(shared: State<Arc<Shared>>, query: Query<FlowQuery>) -> HttpResponse {
+    let FlowQuery { caller, service } = *query;
+    let flow = FlowKey { protocol: Protocol::Udp, caller, service };
+    HttpResponse::Ok().json(&shared.explain(flow).await)
+}
--- /dev/null
+++ b/daemon/src/process/bridge.rs
@@ -0,0 +1,73 @@
+//! Queues between the control thread and the traffic threads.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lagoonhollow_lib::connection::flow::FlowKey;
+use lagoonhollow_lib::process::agent::Explained;
+use lagoonhollow_lib::process::message::Envelope;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::version::manifest::InForce;
+use lagoonhollow_lib::version::manifest::Manifest;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// Messages that wait in one queue at most.
+pub const QUEUE: usize = 4_096;
+
+/// The version in force, none before the first.
+pub type Current = Option<Arc<Manifest<InForce>>>;
+
+/// What the control thread tells a traffic thread.
+#[derive(Debug)]
+pub enum Command {
+    /// A message came over a control connection.
+    Envelope(Envelope),
+    /// The platform's list of live VMs of the service.
+    Live(BTreeSet<Name>),
+    /// What the backend server's health endpoint says.
+    Health {
+        /// Whether it is leaving.
+        leaving: bool,
+        /// Whether it has only just started.
+        cold: bool,
+    },
+    /// An operator's question.
+    Explain {
+        /// The flow.
+        flow: FlowKey,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Explained>,
+    },
+    /// A planned stop begins.
+    Drain,
+}
+
+/// What a traffic thread tells the control thread.
+#[derive(Debug)]
+pub enum Report {
+    /// A message that takes a control connection.
+    Bulk {
+        /// The receiver's control address.
+        control: SocketAddr,
+        /// The sealed message.
+        sealed: Vec<u8>,
+    },
+    /// A process with a later version, by its control address.
+    Newer(SocketAddr),
+    /// A planned stop is complete.
+    Drained,
+}
+
+/// A traffic thread's ends of the queues.
+#[derive(Debug)]
+pub struct Traffic {
+    /// Commands from the control thread.
+    pub commands: mpsc::Receiver<Command>,
+    /// Reports to the control thread.
+    pub reports: mpsc::Sender<Report>,
+    /// The version in force.
+    pub current: watch::Receiver<Current>,
+}
--- /dev/null
+++ b/daemon/src/process/clock.rs
@@ -0,0 +1,33 @@
+//! The clock that decisions are given the time of.
+
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use lagoonhollow_lib::process::incarnation::Incarnation;
+use lagoonhollow_lib::process::moment::Moment;
+
+/// Unix time at the start, moved on by a clock that never steps.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Moment,
+    start: Instant,
+}
+
+impl Clock {
+    /// Opens a clock.
+    pub fn open() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { base: Moment(unix.as_micros() as u64), start: Instant::now() }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Moment {
+        self.base + self.start.elapsed()
+    }
+
+    /// Returns the incarnation of a process that opened its clock at its start.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.base.0)
+    }
+}
--- /dev/null
+++ b/daemon/src/process/mod.rs
@@ -0,0 +1,12 @@
+//! State that lives as long as the process.
+
+pub mod admin;
+pub mod bridge;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod ini;
+pub mod log;
+pub mod metrics;
+pub mod settings;
+pub mod status;
--- /dev/null
+++ b/daemon/src/version/mod.rs
@@ -0,0 +1,5 @@
+//! State that lives as long as one version of the manifest.
+
+pub mod platform;
+pub mod versions;
+pub mod watch;
--- /dev/null
+++ b/daemon/src/version/platform.rs
@@ -0,0 +1,129 @@
+//! Reading of the platform's configuration service over HTTP.
+//!
+//! This is the only module that knows the platform's interface.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::version::doc::Doc;
+use lagoonhollow_lib::version::index::Index;
+use ntex::client::Client;
+use ntex::http::StatusCode;
+use ntex::time::Millis;
+use serde::de::DeserializeOwned;
+
+use crate::process::metrics::Metrics;
+
+/// Time that one watch waits for a change.
+pub const WATCH: Duration = Duration::from_secs(30);
+/// Time that the service is given beyond a watch.
+const SLACK: Duration = Duration::from_secs(3);
+/// Longest value: a megabyte, with room for its encoding.
+const MAX_VALUE: usize = 2 << 20;
+
+/// Why the platform could not be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum PlatformError {
+    /// It does not answer.
+    #[display("platform does not answer: {_0}")]
+    Down(#[error(not(source))] String),
+    /// It answers with an error.
+    #[display("platform answers {_0}")]
+    Refused(#[error(not(source))] u16),
+    /// The value can't be read.
+    #[display("{key}: {problem}")]
+    Unreadable {
+        /// The key.
+        key: String,
+        /// What is wrong with its value.
+        problem: String,
+    },
+}
+
+/// A client of the configuration service.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    client: Client,
+    base: String,
+    metrics: Arc<Metrics>,
+}
+
+impl Platform {
+    /// Opens a client of the service at `base`.
+    pub async fn open(base: &str, metrics: Arc<Metrics>) -> Self {
+        let client = Client::builder().disable_timeout().build(ntex::SharedCfg::default()).await;
+        let client = match client {
+            Ok(client) => client,
+            Err(_) => Client::new().await,
+        };
+        Self { client, base: base.to_owned(), metrics }
+    }
+
+    /// Waits until the index is later than version `after`; none if it is not
+    /// within [`WATCH`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service can't be read.
+    pub async fn watch(&self, after: u64) -> Result<Option<Index>, PlatformError> {
+        let wait = if after == 0 { 0 } else { WATCH.as_millis() };
+        let key = format!("index?after={after}&wait_ms={wait}");
+        self.read(&key, WATCH + SLACK).await
+    }
+
+    /// Reads the document of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service can't be read or has no such document.
+    pub async fn doc(&self, service: &Name) -> Result<Doc, PlatformError> {
+        let key = format!("service/{service}");
+        let doc = self.read(&key, SLACK).await?;
+        doc.ok_or(PlatformError::Refused(StatusCode::NOT_MODIFIED.as_u16()))
+    }
+
+    /// Reads the list of live VMs of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service can't be read.
+    pub async fn live(&self, service: &Name) -> Result<BTreeSet<Name>, PlatformError> {
+        let list = self.read(&format!("live/{service}"), SLACK).await?;
+        Ok(list.unwrap_or_default())
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        limit: Duration,
+    ) -> Result<Option<T>, PlatformError> {
+        self.metrics.platform_calls.inc();
+        let asked = tokio::time::timeout(limit, self.fetch(key, limit)).await;
+        let bytes = asked.map_err(|_| PlatformError::Down("timeout".to_owned()))??;
+        let Some(bytes) = bytes else { return Ok(None) };
+        self.metrics.platform_bytes.inc_by(bytes.len() as u64);
+        serde_json::from_slice(&bytes).map(Some).map_err(|e| {
+            let problem = e.to_string();
+            PlatformError::Unreadable { key: key.to_owned(), problem }
+        })
+    }
+
+    async fn fetch(&self, key: &str, limit: Duration) -> Result<Option<Vec<u8>>, PlatformError> {
+        let down = |e: &dyn std::fmt::Display| PlatformError::Down(e.to_string());
+        let request = self.client.get(format!("{}/{key}", self.base));
+        let limit = Millis(limit.as_millis() as u32);
+        let response = request.timeout(limit).send().await.map_err(|e| down(&e))?;
+        match response.status() {
+            StatusCode::OK => {
+                let body = response.body().limit(MAX_VALUE).await.map_err(|e| down(&e))?;
+                Ok(Some(body.to_vec()))
+            }
+            StatusCode::NOT_MODIFIED => Ok(None),
+            status => Err(PlatformError::Refused(status.as_u16())),
+        }
+    }
+}
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod flow;
 pub mod flows;
 pub mod lookup;
+pub mod owed;
 pub mod redirect;
 pub mod router;
 pub mod stamp;
--- a/lib/src/process/action.rs
+++ b/lib/src/process/action.rs
@@ -41,11 +41,6 @@
         /// The notification.
         answer: Answer,
     },
-    /// Send an explicit credit to an entry.
-    Credit {
-        /// The entry.
-        via: Via,
-    },
     /// Hand a request to the backend server.
     Run {
         /// Number that the answer carries.
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -157,12 +157,11 @@
         self.tick(now)
     }
 
-    /// Takes in the backend server's state as its agent measures it.
-    pub fn measured(&mut self, leaving: bool, cold: bool, shedding: bool) {
+    /// Takes in what the backend server says of its own state.
+    pub fn measured(&mut self, leaving: bool, cold: bool) {
         let health = self.context.health;
-        let changed = health.leaving != leaving || health.shedding != shedding;
-        self.context.health = Health { leaving, cold, shedding, ..health };
-        if changed {
+        self.context.health = Health { leaving, cold, ..health };
+        if health.leaving != leaving {
             self.beaten = None;
         }
     }
@@ -366,14 +365,12 @@
                 self.requests.receive(context, &mut self.votes, pass, request, now);
             }
             Content::Acknowledge(id) => {
-                self.channels.acknowledged(context, flow, id, pass.via.clone(), now);
-                context.act(Action::Credit { via: pass.via });
+                self.channels.acknowledged(context, flow, id, pass.via, now);
             }
             Content::Reset(id) => {
                 if self.channels.reset(context, flow, id) {
                     self.router.flows().pin(&flow, false);
                 }
-                context.act(Action::Credit { via: pass.via });
             }
         }
     }
--- a/lib/src/process/message.rs
+++ b/lib/src/process/message.rs
@@ -14,7 +14,6 @@
 use crate::connection::flow::FlowKey;
 use crate::connection::flow::Header;
 use crate::connection::stamp::Stamp;
-use crate::request::answer::Answer;
 use crate::request::grant::Grant;
 use crate::request::grant::Holder;
 use crate::request::key::RequestKey;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,9 +3,11 @@
 pub mod action;
 pub mod agent;
 pub mod context;
+pub mod gossip;
 pub mod health;
 pub mod incarnation;
 pub mod life;
+pub mod live;
 pub mod message;
 pub mod moment;
 pub mod name;
--- a/lib/src/request/requests.rs
+++ b/lib/src/request/requests.rs
@@ -39,6 +39,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 /// Time beyond its deadline that a backend server is given for an answer.
 const GRACE: Duration = Duration::from_millis(500);
+/// Time for which a backend server that refused work is given no more.
+const SHED_PAUSE: Duration = Duration::from_millis(300);
 /// Gain in completion time that makes up for handing work to a peer.
 const LEND_MARGIN: Duration = Duration::from_millis(2);
 
@@ -52,6 +54,8 @@
     next: u64,
     admission: Admission,
     budget: Budget,
+    // Until when the backend server counts as refusing work.
+    shedding: Moment,
 }
 
 impl Requests {
@@ -67,6 +71,7 @@
             next: run.0 << 8,
             admission: Admission::open(slots),
             budget: Budget::open(),
+            shedding: Moment(0),
         }
     }
 
@@ -250,6 +255,7 @@
                 Turn::Expire(key) => self.refuse(context, key, Reason::Expired, now),
             }
         }
+        context.health.shedding = now < self.shedding;
         context.health.backlog = micros(self.admission.backlog(now));
         context.health.pace = micros(self.admission.pace());
     }
@@ -394,6 +400,7 @@
     // The backend server said that it did not start the work.
     fn shed(&mut self, context: &mut Context, key: RequestKey, run: Run<Started>, now: Moment) {
         context.count(Reason::Shed);
+        self.shedding = now + SHED_PAUSE;
         let idempotent = run.request.method.is_idempotent();
         if idempotent && self.retry(context, key, now) {
             return;
--- a/lib/src/version/manifest.rs
+++ b/lib/src/version/manifest.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::backend::Backend;
 use super::doc::Doc;
 use super::findings::Findings;
 use super::index::Index;
@@ -33,6 +34,8 @@
     routes: HashMap<SocketAddr, Arc<Service>>,
     services: BTreeMap<Name, Arc<Service>>,
     backends: HashMap<Name, Arc<Service>>,
+    // The same names in a fixed order, to draw from.
+    names: Vec<Name>,
 }
 
 /// Replaced by a later version.
@@ -156,8 +159,10 @@
             let names: Vec<_> = s.membership.members.iter().map(|b| b.name.clone()).collect();
             names.into_iter().map(move |name| (name, s.clone()))
         };
-        let backends = services.values().flat_map(owned).collect();
-        let state = InForce { routes, services, backends };
+        let backends: HashMap<_, _> = services.values().flat_map(owned).collect();
+        let mut names: Vec<_> = backends.keys().cloned().collect();
+        names.sort();
+        let state = InForce { routes, services, backends, names };
         Ok(Manifest { index: self.index, docs: self.docs, state })
     }
 }
@@ -183,6 +188,16 @@
         self.state.backends.get(name)
     }
 
+    /// Returns the names of all backend servers.
+    pub fn backends(&self) -> &[Name] {
+        &self.state.names
+    }
+
+    /// Returns the backend server with `name`.
+    pub fn backend(&self, name: &Name) -> Option<&Backend> {
+        self.service_of(name)?.doc.backend(name.as_str())
+    }
+
     /// Takes the manifest out of force.
     pub fn retire(self) -> Manifest<Retired> {
         Manifest { index: self.index, docs: self.docs, state: Retired }
--- /dev/null
+++ b/wire/src/backend.rs
@@ -0,0 +1,95 @@
+//! CoAP towards backend servers.
+//!
+//! The token of each request is its 64-bit number, so an answer is matched to
+//! its own request however late it comes.
+
+use std::time::Duration;
+
+use coap_lite::CoapOption;
+use coap_lite::MessageClass;
+use coap_lite::MessageType;
+use coap_lite::Packet;
+use lagoonhollow_lib::request::answer::Answer;
+use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::request::token::Token;
+
+use crate::coap;
+use crate::coap::CoapError;
+use crate::coap::DEADLINE_QUERY;
+
+/// Encodes a request under number `id` with the time left for its answer.
+///
+/// # Errors
+///
+/// Returns an error if the request is too long for a datagram.
+pub fn encode_run(id: u64, request: &Request, left: Duration) -> Result<Vec<u8>, CoapError> {
+    let mut packet = numbered(id);
+    coap::put_request(&mut packet, request);
+    let query = format!("{DEADLINE_QUERY}{}", left.as_millis());
+    packet.add_option(CoapOption::UriQuery, query.into_bytes());
+    coap::bytes(&packet)
+}
+
+/// Encodes that nobody waits for number `id` any more: a deregistration as in
+/// RFC 7641 section 3.6.
+///
+/// # Errors
+///
+/// Returns an error if the message can't be encoded.
+pub fn encode_cancel(id: u64) -> Result<Vec<u8>, CoapError> {
+    let mut packet = numbered(id);
+    packet.header.code = MessageClass::Request(coap_lite::RequestType::Get);
+    packet.set_observe_value(1);
+    coap::bytes(&packet)
+}
+
+/// Decodes what a backend server answers, with the number of the request.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no answer to a numbered request.
+pub fn decode(raw: &[u8]) -> Result<(u64, Answer), CoapError> {
+    let answer = coap::answer(coap::parse(raw)?)?;
+    Ok((number(&answer.token)?, answer))
+}
+
+/// Decodes a request as a backend server receives it, with its number and the
+/// time left for its answer.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no numbered request.
+pub fn decode_run(raw: &[u8]) -> Result<(u64, Request, Option<Duration>), CoapError> {
+    let packet = coap::parse(raw)?;
+    let queries = packet.get_option(CoapOption::UriQuery).into_iter().flatten();
+    let mut texts = queries.filter_map(|q| std::str::from_utf8(q).ok());
+    let left = texts.find_map(|q| q.strip_prefix(DEADLINE_QUERY)?.parse().ok());
+    let request = coap::request(packet)?;
+    Ok((number(&request.token)?, request, left.map(Duration::from_millis)))
+}
+
+/// Encodes an answer as a backend server sends it.
+///
+/// # Errors
+///
+/// Returns an error if the answer is too long for a datagram.
+pub fn encode(id: u64, answer: &Answer) -> Result<Vec<u8>, CoapError> {
+    let mut packet = numbered(id);
+    packet.header.set_type(MessageType::NonConfirmable);
+    let answer = Answer { token: Token(id.to_be_bytes().into()), ..answer.clone() };
+    coap::put_answer(&mut packet, &answer);
+    coap::bytes(&packet)
+}
+
+fn numbered(id: u64) -> Packet {
+    let mut packet = Packet::new();
+    packet.header.set_type(MessageType::Confirmable);
+    packet.header.message_id = id as u16;
+    packet.set_token(id.to_be_bytes().to_vec());
+    packet
+}
+
+fn number(token: &Token) -> Result<u64, CoapError> {
+    let bytes = (&*token.0).try_into().map_err(|_| CoapError::Unexpected)?;
+    Ok(u64::from_be_bytes(bytes))
+}
--- /dev/null
+++ b/wire/src/coap.rs
@@ -0,0 +1,144 @@
+//! What both sides of CoAP share.
+
+use std::collections::LinkedList;
+
+use coap_lite::CoapOption;
+use coap_lite::MessageClass;
+use coap_lite::Packet;
+use coap_lite::RequestType;
+use coap_lite::ResponseType;
+use coap_lite::block_handler::BlockValue;
+use derive_more::Display;
+use derive_more::Error;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::request::answer::Answer;
+use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::request::message::Block;
+use lagoonhollow_lib::request::message::Method;
+use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::request::token::Token;
+
+/// Query key of the time left for an answer.
+pub const DEADLINE_QUERY: &str = "deadline_ms=";
+
+/// The bytes are no CoAP message that the system handles.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum CoapError {
+    /// Not a CoAP message.
+    #[display("not a CoAP message")]
+    Malformed,
+    /// A CoAP message that has no place here.
+    #[display("unexpected kind of CoAP message")]
+    Unexpected,
+    /// The message is too long for a datagram.
+    #[display("message too long")]
+    TooLong,
+}
+
+pub(crate) fn parse(raw: &[u8]) -> Result<Packet, CoapError> {
+    Packet::from_bytes(raw).map_err(|_| CoapError::Malformed)
+}
+
+pub(crate) fn bytes(packet: &Packet) -> Result<Vec<u8>, CoapError> {
+    packet.to_bytes().map_err(|_| CoapError::TooLong)
+}
+
+pub(crate) fn request(packet: Packet) -> Result<Request, CoapError> {
+    let method = match packet.header.code {
+        MessageClass::Request(RequestType::Get) => Method::Get,
+        MessageClass::Request(RequestType::Post) => Method::Post,
+        MessageClass::Request(RequestType::Put) => Method::Put,
+        MessageClass::Request(RequestType::Delete) => Method::Delete,
+        _ => return Err(CoapError::Unexpected),
+    };
+    let observe = match packet.get_observe_value() {
+        Some(Ok(0)) => Some(true),
+        Some(Ok(1)) => Some(false),
+        _ => None,
+    };
+    Ok(Request {
+        id: packet.header.message_id,
+        token: Token(packet.get_token().into()),
+        method,
+        path: path(&packet)?,
+        observe,
+        block: block(&packet),
+        body: packet.payload.into(),
+    })
+}
+
+pub(crate) fn put_request(packet: &mut Packet, request: &Request) {
+    packet.header.code = MessageClass::Request(match request.method {
+        Method::Get => RequestType::Get,
+        Method::Post => RequestType::Post,
+        Method::Put => RequestType::Put,
+        Method::Delete => RequestType::Delete,
+    });
+    let segments = request.path.as_str().split('/').map(|s| s.as_bytes().to_vec());
+    packet.set_option(CoapOption::UriPath, segments.collect::<LinkedList<_>>());
+    if let Some(open) = request.observe {
+        packet.set_observe_value(if open { 0 } else { 1 });
+    }
+    put_block(packet, request.block);
+    packet.payload = request.body.to_vec();
+}
+
+pub(crate) fn answer(packet: Packet) -> Result<Answer, CoapError> {
+    let code = match packet.header.code {
+        MessageClass::Response(ResponseType::Content) => Code::Content,
+        MessageClass::Response(ResponseType::Changed) => Code::Changed,
+        MessageClass::Response(ResponseType::ServiceUnavailable) => Code::NotRun(Reason::Shed),
+        MessageClass::Response(ResponseType::GatewayTimeout) => Code::Unknown(Reason::AnswerLost),
+        MessageClass::Response(_) => Code::Other(u8::from(packet.header.code)),
+        _ => return Err(CoapError::Unexpected),
+    };
+    let observe = packet.get_observe_value().and_then(Result::ok);
+    Ok(Answer {
+        token: Token(packet.get_token().into()),
+        code,
+        observe,
+        block: block(&packet),
+        body: packet.payload.into(),
+    })
+}
+
+pub(crate) fn put_answer(packet: &mut Packet, answer: &Answer) {
+    packet.header.code = match answer.code {
+        Code::Content => MessageClass::Response(ResponseType::Content),
+        Code::Changed => MessageClass::Response(ResponseType::Changed),
+        Code::NotRun(_) => MessageClass::Response(ResponseType::ServiceUnavailable),
+        Code::Unknown(_) => MessageClass::Response(ResponseType::GatewayTimeout),
+        Code::Other(code) => MessageClass::from(code),
+    };
+    packet.set_token(answer.token.0.to_vec());
+    if let Some(sequence) = answer.observe {
+        // RFC 7641 has 24 bits for the sequence number.
+        packet.set_observe_value(sequence & 0x00ff_ffff);
+    }
+    put_block(packet, answer.block);
+    packet.payload = match answer.code {
+        // A diagnostic payload, as RFC 7252 has it in section 5.5.2.
+        Code::NotRun(_) | Code::Unknown(_) => answer.code.to_string().into_bytes(),
+        _ => answer.body.to_vec(),
+    };
+}
+
+fn path(packet: &Packet) -> Result<Name, CoapError> {
+    let segments = packet.get_option(CoapOption::UriPath).into_iter().flatten();
+    let segments: Result<Vec<_>, _> = segments.map(|s| std::str::from_utf8(s)).collect();
+    let segments = segments.map_err(|_| CoapError::Malformed)?;
+    Ok(Name::from(segments.join("/")))
+}
+
+fn block(packet: &Packet) -> Option<Block> {
+    let value = packet.get_first_option_as::<BlockValue>(CoapOption::Block2)?.ok()?;
+    Some(Block { number: value.num.into(), more: value.more, size: value.size_exponent })
+}
+
+fn put_block(packet: &mut Packet, block: Option<Block>) {
+    let Some(block) = block else { return };
+    let Ok(num) = u16::try_from(block.number) else { return };
+    let value = BlockValue { num, more: block.more, size_exponent: block.size };
+    packet.add_option_as(CoapOption::Block2, value);
+}
