Serve a report, a channel and a download through separate processes

Cause: nothing showed that a request gets from a caller to a backend server and back under random spray. Ruled out: a fabric program of our own (the kernel sprays with a classic BPF filter on the group of sockets; the test's own socket holds index 0 and is never chosen). Change: stand-ins for the platform, backend servers, callers and the fabric; a test with two entries and three agents as processes.

--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,186 @@
+//! A small fleet of separate processes.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonhollow_daemon::process::status::Explanation;
+use lagoonhollow_daemon::process::status::Status;
+use lagoonhollow_testutils::backend::Backend;
+use lagoonhollow_testutils::backend::BackendOptions;
+use lagoonhollow_testutils::fabric::Fabric;
+use lagoonhollow_testutils::fleet::Host;
+use lagoonhollow_testutils::fleet::Service;
+use lagoonhollow_testutils::hosts;
+use lagoonhollow_testutils::platform::Platform;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+/// Time that a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Request lifetime of the service, and so the abstention of its witnesses.
+const LIFETIME: Duration = Duration::from_secs(2);
+
+/// A running process that is killed at the end of its test.
+pub struct Process {
+    pub host: Host,
+    child: Child,
+}
+
+/// A platform, a fabric, entries, agents and backend servers.
+pub struct Fleet {
+    pub platform: Platform,
+    pub fabric: Fabric,
+    pub service: Service,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub backends: Vec<Backend>,
+}
+
+impl Process {
+    pub fn spawn(host: Host, settings: &str) -> Self {
+        let path = settings_file(&host, settings);
+        let child = Command::new(env!("CARGO_BIN_EXE_lagoonhollowd"))
+            .arg("--settings")
+            .arg(&path)
+            .spawn()
+            .expect("the daemon starts");
+        Self { host, child }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    pub fn status(&self) -> Option<Status> {
+        serde_json::from_str(&get(self.host.admin(), "/status")?).ok()
+    }
+
+    pub fn explain(&self, caller: SocketAddr, service: SocketAddr) -> Option<Explanation> {
+        let path = format!("/explain?caller={caller}&service={service}");
+        serde_json::from_str(&get(self.host.admin(), &path)?).ok()
+    }
+
+    pub fn held(&self, name: &str) -> Option<u64> {
+        self.status()?.held.get(name).copied()
+    }
+
+    pub fn wait(mut self) -> Option<i32> {
+        self.child.wait().expect("the process can be waited for").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Fleet {
+    pub fn spawn(entries: usize, agents: usize) -> Self {
+        let platform = Platform::spawn(SocketAddr::new(hosts::next(), 8080)).unwrap();
+        let service = Service::open("alarm", agents, 4, LIFETIME);
+        platform.publish(vec![service.doc.clone()]);
+        platform.set_live("alarm", service.hosts.iter().map(|h| h.name.as_str().into()));
+        let fabric = Fabric::open(service.doc.address).unwrap();
+        let backends = service.hosts.iter().map(spawn_backend).collect();
+        let mut fleet = Self {
+            platform,
+            fabric,
+            service: service.clone(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            backends,
+        };
+        for host in &service.hosts {
+            fleet.spawn_agent(host.clone());
+        }
+        for i in 0..entries {
+            fleet.spawn_entry(Host::open(&format!("entry-{i}")));
+        }
+        fleet.wait_until(|f| f.all(|p| p.status().is_some_and(|s| s.version > 0)));
+        fleet.fabric.spray(entries as u32).unwrap();
+        fleet
+    }
+
+    pub fn spawn_agent(&mut self, host: Host) {
+        let peers = self.agents.iter().map(|p| p.host.control()).collect::<Vec<_>>();
+        let settings = host.agent_settings(&self.platform.url(), &peers);
+        self.agents.push(Process::spawn(host, &settings));
+    }
+
+    pub fn spawn_entry(&mut self, host: Host) {
+        let peers = self.agents.iter().map(|p| p.host.control()).collect::<Vec<_>>();
+        let settings = host.entry_settings(&self.platform.url(), &peers);
+        self.entries.push(Process::spawn(host, &settings));
+    }
+
+    pub fn all(&self, fits: impl Fn(&Process) -> bool) -> bool {
+        self.entries.iter().chain(&self.agents).all(fits)
+    }
+
+    pub fn wait_until(&self, holds: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !holds(self) {
+            assert!(start.elapsed() < PATIENCE, "the condition does not come true");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    pub fn wait_until_granting(&self) {
+        let ready = |p: &Process| p.held("recovering") == Some(0) && p.held("settled") == Some(1);
+        self.wait_until(|f| f.agents.iter().all(ready));
+    }
+
+    pub fn runs(&self, body: &str) -> usize {
+        let ran = |b: &Backend| b.record().ran.iter().filter(|r| *r == body).count();
+        self.backends.iter().map(ran).sum()
+    }
+
+    pub fn notify(&self, text: &str) {
+        self.backends.iter().for_each(|b| b.notify(text));
+    }
+
+    pub fn stop(mut self) {
+        let processes = self.entries.drain(..).chain(self.agents.drain(..)).collect::<Vec<_>>();
+        processes.iter().for_each(|p| p.signal(Signal::SIGTERM));
+        for process in processes {
+            assert_eq!(process.wait(), Some(0), "a planned stop ends with exit code 0");
+        }
+    }
+}
+
+pub fn spawn_backend(host: &Host) -> Backend {
+    let options = BackendOptions {
+        service: "alarm".to_owned(),
+        slots: 4,
+        work: Duration::from_millis(10),
+        cold: Duration::ZERO,
+    };
+    Backend::spawn(host.backend(), options).expect("the backend server starts")
+}
+
+pub fn settings_file(host: &Host, settings: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{}-{}.ini", host.name, host.ip));
+    std::fs::write(&path, settings).expect("the settings file can be written");
+    path
+}
+
+fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n").ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (_, body) = text.split_once("\r\n\r\n")?;
+    Some(body.to_owned())
+}
--- /dev/null
+++ b/testutils/src/backend.rs
@@ -0,0 +1,295 @@
+//! A backend server: slots, drain, cold start, shedding, cancellation, deadlines
+//! and a record of everything it ran.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
+
+use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::request::answer::Answer;
+use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::request::message::Block;
+use lagoonhollow_lib::request::message::Method;
+use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_wire::backend;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Requests that wait for a slot before more are shed.
+const MAX_QUEUE: usize = 256;
+/// Blocks of a download.
+pub const BLOCKS: u32 = 8;
+/// Size exponent of a block: 64 bytes.
+const BLOCK_SIZE: u8 = 2;
+
+/// How a backend server works.
+#[derive(Clone, Debug)]
+pub struct BackendOptions {
+    /// Its service, with which every answer starts.
+    pub service: String,
+    /// Pieces of work at once.
+    pub slots: usize,
+    /// Service time of one request.
+    pub work: Duration,
+    /// Time after the start during which work takes four times as long.
+    pub cold: Duration,
+}
+
+/// Everything a backend server ran and saw.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Bodies of the reports that were run, in order.
+    pub ran: Vec<String>,
+    /// Requests that were meant for another service.
+    pub misrouted: u64,
+    /// Requests that were cancelled before they started.
+    pub cancelled: u64,
+    /// Requests that were refused.
+    pub shed: u64,
+    /// Requests whose deadline had passed before they started.
+    pub expired: u64,
+    /// Channels that are open.
+    pub channels: usize,
+    /// Requests of any kind taken.
+    pub taken: u64,
+}
+
+/// A running backend server.
+#[derive(Debug)]
+pub struct Backend {
+    record: Arc<Mutex<Record>>,
+    orders: mpsc::UnboundedSender<Order>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+enum Order {
+    Notify(String),
+    Shed(bool),
+    Stop,
+}
+
+impl Backend {
+    /// Starts a backend server at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn spawn(address: SocketAddr, options: BackendOptions) -> io::Result<Self> {
+        let record = Arc::new(Mutex::new(Record::default()));
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let shared = record.clone();
+        let body = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = runtime else { return };
+            runtime.block_on(async {
+                if let Ok(socket) = UdpSocket::from_std(socket) {
+                    Server::open(socket, options, shared).run(ordered).await;
+                }
+            });
+        };
+        let thread = thread::Builder::new().name("backend".to_owned()).spawn(body)?;
+        Ok(Self { record, orders, thread: Some(thread) })
+    }
+
+    /// Returns what was run and seen so far.
+    pub fn record(&self) -> Record {
+        lock(&self.record).clone()
+    }
+
+    /// Notifies every channel.
+    pub fn notify(&self, text: &str) {
+        let _ = self.orders.send(Order::Notify(text.to_owned()));
+    }
+
+    /// Refuses all further requests, or takes them again.
+    pub fn shed(&self, on: bool) {
+        let _ = self.orders.send(Order::Shed(on));
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        let _ = self.orders.send(Order::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Work that waits or runs.
+#[derive(Debug)]
+struct Work {
+    id: u64,
+    request: Request,
+    agent: SocketAddr,
+    deadline: Option<tokio::time::Instant>,
+}
+
+struct Server {
+    socket: UdpSocket,
+    options: BackendOptions,
+    record: Arc<Mutex<Record>>,
+    queue: VecDeque<Work>,
+    running: BTreeMap<u64, Work>,
+    channels: BTreeMap<u64, (Request, SocketAddr)>,
+    done: mpsc::UnboundedSender<u64>,
+    finished: mpsc::UnboundedReceiver<u64>,
+    start: tokio::time::Instant,
+    shedding: bool,
+}
+
+impl Server {
+    fn open(socket: UdpSocket, options: BackendOptions, record: Arc<Mutex<Record>>) -> Self {
+        let (done, finished) = mpsc::unbounded_channel();
+        Self {
+            socket,
+            options,
+            record,
+            queue: VecDeque::new(),
+            running: BTreeMap::new(),
+            channels: BTreeMap::new(),
+            done,
+            finished,
+            start: tokio::time::Instant::now(),
+            shedding: false,
+        }
+    }
+
+    async fn run(mut self, mut orders: mpsc::UnboundedReceiver<Order>) {
+        let mut buffer = vec![0; 65_535];
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, agent)) = received {
+                        self.take(&buffer[..length], agent);
+                    }
+                }
+                id = self.finished.recv() => {
+                    if let Some(work) = id.and_then(|id| self.running.remove(&id)) {
+                        self.finish(work);
+                    }
+                }
+                order = orders.recv() => match order {
+                    Some(Order::Notify(text)) => self.notify(&text),
+                    Some(Order::Shed(on)) => self.shedding = on,
+                    Some(Order::Stop) | None => return,
+                },
+            }
+            self.pump();
+        }
+    }
+
+    fn take(&mut self, raw: &[u8], agent: SocketAddr) {
+        let Ok((id, request, left)) = backend::decode_run(raw) else { return };
+        if request.observe == Some(false) && request.method == Method::Get {
+            self.cancel(id);
+            return;
+        }
+        lock(&self.record).taken += 1;
+        if request.observe == Some(true) {
+            let body = format!("{}:registered", self.options.service);
+            self.channels.insert(id, (request, agent));
+            lock(&self.record).channels = self.channels.len();
+            self.answer(id, agent, Code::Content, body, None);
+            return;
+        }
+        if self.shedding || self.queue.len() >= MAX_QUEUE {
+            lock(&self.record).shed += 1;
+            self.answer(id, agent, Code::NotRun(Reason::Shed), String::new(), None);
+            return;
+        }
+        let deadline = left.map(|d| tokio::time::Instant::now() + d);
+        self.queue.push_back(Work { id, request, agent, deadline });
+    }
+
+    fn pump(&mut self) {
+        while self.running.len() < self.options.slots {
+            let Some(work) = self.queue.pop_front() else { return };
+            if work.deadline.is_some_and(|d| d < tokio::time::Instant::now()) {
+                lock(&self.record).expired += 1;
+                continue;
+            }
+            self.note(&work.request);
+            let (id, done) = (work.id, self.done.clone());
+            let cold = self.start.elapsed() < self.options.cold;
+            let time = self.options.work * if cold { 4 } else { 1 };
+            tokio::spawn(async move {
+                tokio::time::sleep(time).await;
+                let _ = done.send(id);
+            });
+            self.running.insert(id, work);
+        }
+    }
+
+    fn note(&self, request: &Request) {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let mut record = lock(&self.record);
+        if !body.is_empty() && !body.starts_with(&self.options.service) {
+            record.misrouted += 1;
+        }
+        if request.method == Method::Post {
+            record.ran.push(body);
+        }
+    }
+
+    fn finish(&self, work: Work) {
+        let Work { id, request, agent, .. } = work;
+        match (request.method, request.block) {
+            (Method::Post, _) => {
+                let body = String::from_utf8_lossy(&request.body);
+                self.answer(id, agent, Code::Changed, format!("done:{body}"), None);
+            }
+            (_, block) => {
+                let number = block.map_or(0, |b| b.number);
+                let more = number + 1 < BLOCKS;
+                let block = Block { number, more, size: BLOCK_SIZE };
+                let body = download_block(&self.options.service, request.path.as_str(), number);
+                self.answer(id, agent, Code::Content, body, Some(block));
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: u64) {
+        let before = self.queue.len();
+        self.queue.retain(|w| w.id != id);
+        self.channels.remove(&id);
+        let mut record = lock(&self.record);
+        record.cancelled += (before - self.queue.len()) as u64;
+        record.channels = self.channels.len();
+    }
+
+    fn notify(&self, text: &str) {
+        let body = format!("{}:{text}", self.options.service);
+        for (id, (_, agent)) in &self.channels {
+            self.answer(*id, *agent, Code::Content, body.clone(), None);
+        }
+    }
+
+    fn answer(&self, id: u64, to: SocketAddr, code: Code, body: String, block: Option<Block>) {
+        let body = body.into_bytes().into();
+        let answer = Answer { token: Default::default(), code, observe: None, block, body };
+        if let Ok(raw) = backend::encode(id, &answer) {
+            let _ = self.socket.try_send_to(&raw, to);
+        }
+    }
+}
+
+/// Returns block `number` of the download at `path` of `service`.
+pub fn download_block(service: &str, path: &str, number: u32) -> String {
+    let text = format!("{service}/{path}#{number}|");
+    let size = 1 << (BLOCK_SIZE + 4);
+    text.chars().cycle().take(size).collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/testutils/src/caller.rs
@@ -0,0 +1,146 @@
+//! A caller: a CoAP client with retransmissions and standing channels.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonhollow_lib::request::answer::Answer;
+use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::request::message::Block;
+use lagoonhollow_lib::request::message::Method;
+use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::request::token::Token;
+use lagoonhollow_wire::caller;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::backend::BLOCKS;
+
+/// Time after which a request is first sent again.
+const FIRST_RETRY: Duration = Duration::from_millis(400);
+/// Times a request is sent at most.
+const MAX_SENDS: u32 = 6;
+
+/// A caller with one flow to one service.
+#[derive(Debug)]
+pub struct Caller {
+    socket: UdpSocket,
+    next: u16,
+    notes: VecDeque<Answer>,
+    seen: VecDeque<u16>,
+    /// Answers that matched no open request.
+    pub strays: u64,
+}
+
+impl Caller {
+    /// Opens a flow from the address `from` to the service at `service`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no socket can be bound.
+    pub async fn connect(from: std::net::IpAddr, service: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind((from, 0)).await?;
+        socket.connect(service).await?;
+        let next = socket.local_addr()?.port();
+        let (notes, seen) = (VecDeque::new(), VecDeque::new());
+        Ok(Self { socket, next, notes, seen, strays: 0 })
+    }
+
+    /// Hands in a report; none if no answer came.
+    pub async fn post(&mut self, path: &str, body: &str) -> Option<Answer> {
+        let mut request = self.request(Method::Post, path);
+        request.body = body.as_bytes().into();
+        self.exchange(request).await
+    }
+
+    /// Opens a standing channel; returns its first answer.
+    pub async fn observe(&mut self, path: &str) -> Option<Answer> {
+        let mut request = self.request(Method::Get, path);
+        request.observe = Some(true);
+        self.exchange(request).await
+    }
+
+    /// Downloads a file block by block; none if a block did not come.
+    pub async fn download(&mut self, path: &str) -> Option<String> {
+        let mut text = String::new();
+        for number in 0..BLOCKS {
+            let mut request = self.request(Method::Get, path);
+            request.block = Some(Block { number, more: false, size: 2 });
+            let answer = self.exchange(request).await?;
+            if answer.code != Code::Content || answer.block?.number != number {
+                return None;
+            }
+            text.push_str(&String::from_utf8_lossy(&answer.body));
+        }
+        Some(text)
+    }
+
+    /// Waits for the next notification on any of the flow's channels.
+    pub async fn notification(&mut self, limit: Duration) -> Option<Answer> {
+        let end = Instant::now() + limit;
+        while self.notes.is_empty() {
+            let left = end.checked_duration_since(Instant::now())?;
+            let answer = timeout(left, self.receive()).await.ok()??;
+            if answer.1.observe.is_none() {
+                self.strays += 1;
+            }
+        }
+        self.notes.pop_front()
+    }
+
+    fn request(&mut self, method: Method, path: &str) -> Request {
+        self.next = self.next.wrapping_add(1);
+        Request {
+            id: self.next,
+            token: Token(self.next.to_be_bytes().as_slice().into()),
+            method,
+            path: path.into(),
+            observe: None,
+            block: None,
+            body: [].into(),
+        }
+    }
+
+    async fn exchange(&mut self, request: Request) -> Option<Answer> {
+        let raw = caller::encode_request(&request).ok()?;
+        for sends in 0..MAX_SENDS {
+            let _ = self.socket.send(&raw).await;
+            let end = Instant::now() + FIRST_RETRY * 2u32.pow(sends);
+            while let Some(left) = end.checked_duration_since(Instant::now()) {
+                let Ok(Some((id, answer))) = timeout(left, self.receive()).await else { break };
+                if id == request.id && answer.token == request.token {
+                    return Some(answer);
+                }
+                // An answer to an earlier request may come twice.
+                self.strays += 1;
+            }
+        }
+        None
+    }
+
+    /// Receives one answer; notifications are acknowledged and queued.
+    async fn receive(&mut self) -> Option<(u16, Answer)> {
+        let mut buffer = [0; 2048];
+        loop {
+            let Ok(length) = self.socket.recv(&mut buffer).await else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let (id, confirm, answer) = caller::decode_answer(&buffer[..length]).ok()?;
+            if !confirm {
+                return Some((id, answer));
+            }
+            if let Ok(raw) = caller::encode_acknowledge(id) {
+                let _ = self.socket.send(&raw).await;
+            }
+            if !self.seen.contains(&id) {
+                self.seen.push_back(id);
+                self.seen.truncate(64);
+                self.notes.push_back(answer.clone());
+                return Some((id, answer));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/fabric.rs
@@ -0,0 +1,59 @@
+//! The fabric: it hands every single datagram to a random entry.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+
+use nix::libc;
+use nix::sys::socket::AddressFamily;
+use nix::sys::socket::SockFlag;
+use nix::sys::socket::SockType;
+use nix::sys::socket::SockaddrStorage;
+use nix::sys::socket::bind;
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::socket;
+use nix::sys::socket::sockopt::AttachReusePortCbpf;
+use nix::sys::socket::sockopt::ReusePort;
+
+/// Loads a random number, from the kernel's extensions of classic BPF.
+const SKF_AD_RANDOM: u32 = 0xffff_f000 + 56;
+
+/// The first socket of an address's group; the kernel never chooses it.
+#[derive(Debug)]
+pub struct Fabric {
+    socket: UdpSocket,
+}
+
+impl Fabric {
+    /// Opens the fabric of a service address, before any entry binds it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
+        let flags = SockFlag::SOCK_CLOEXEC;
+        let fd = socket(AddressFamily::Inet, SockType::Datagram, flags, None)?;
+        setsockopt(&fd, ReusePort, &true)?;
+        bind(std::os::fd::AsRawFd::as_raw_fd(&fd), &SockaddrStorage::from(address))?;
+        Ok(Self { socket: UdpSocket::from(fd) })
+    }
+
+    /// Sprays datagrams over the `entries` sockets that entries have bound.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the kernel refuses the filter.
+    pub fn spray(&self, entries: u32) -> io::Result<()> {
+        let step = |code: u32, k: u32| libc::sock_filter { code: code as u16, jt: 0, jf: 0, k };
+        // The group's index 0 is this socket, so the entries start at 1.
+        let mut program = [
+            step(libc::BPF_LD | libc::BPF_W | libc::BPF_ABS, SKF_AD_RANDOM),
+            step(libc::BPF_ALU | libc::BPF_MOD | libc::BPF_K, entries.max(1)),
+            step(libc::BPF_ALU | libc::BPF_ADD | libc::BPF_K, 1),
+            step(libc::BPF_RET | libc::BPF_A, 0),
+        ];
+        let filter = libc::sock_fprog { len: program.len() as u16, filter: program.as_mut_ptr() };
+        setsockopt(&self.socket, AttachReusePortCbpf, &filter)?;
+        Ok(())
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Stand-ins for what surrounds lagoonhollow, for its tests, benches and demo.
+
+pub mod backend;
+pub mod caller;
+pub mod docs;
+pub mod fabric;
+pub mod fleet;
+pub mod hosts;
+pub mod platform;
+pub mod world;
--- /dev/null
+++ b/testutils/src/platform.rs
@@ -0,0 +1,222 @@
+//! The platform's configuration service: it can only be read and watched.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::version::doc::Doc;
+use lagoonhollow_lib::version::index::Index;
+use ntex::web;
+use ntex::web::HttpResponse;
+use ntex::web::types::Path;
+use ntex::web::types::Query;
+use ntex::web::types::State;
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use crate::docs::Pipeline;
+
+type Published = (Index, Vec<Arc<Doc>>);
+
+/// What the server and its test share.
+#[derive(Debug)]
+struct Inner {
+    published: watch::Sender<Published>,
+    // What a stale service goes on answering.
+    stale: Mutex<Option<Published>>,
+    down: Mutex<bool>,
+    slow: Mutex<Duration>,
+    live: Mutex<BTreeMap<Name, BTreeSet<Name>>>,
+    health: Mutex<BTreeMap<Name, &'static str>>,
+    calls: AtomicU64,
+}
+
+/// A running configuration service with switches for what fails.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    inner: Arc<Inner>,
+    pipeline: Mutex<Pipeline>,
+    server: ntex::server::Server,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Wait {
+    after: u64,
+    wait_ms: u64,
+}
+
+impl Platform {
+    /// Starts the service at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn spawn(address: SocketAddr) -> io::Result<Self> {
+        let inner = Arc::new(Inner {
+            published: watch::Sender::new((Index::default(), Vec::new())),
+            stale: Mutex::new(None),
+            down: Mutex::new(false),
+            slow: Mutex::new(Duration::ZERO),
+            live: Mutex::new(BTreeMap::new()),
+            health: Mutex::new(BTreeMap::new()),
+            calls: AtomicU64::new(0),
+        });
+        let shared = inner.clone();
+        let (started, result) = std::sync::mpsc::channel();
+        thread::spawn(move || {
+            let system = ntex::rt::System::new("platform", ntex::rt::DefaultRuntime);
+            system.block_on(async move {
+                match serve(shared, address) {
+                    Ok(server) => {
+                        let _ = started.send(Ok(server.clone()));
+                        let _ = server.await;
+                    }
+                    Err(e) => {
+                        let _ = started.send(Err(e));
+                    }
+                }
+            });
+        });
+        let server = result.recv().map_err(io::Error::other)??;
+        Ok(Self { address, inner, pipeline: Mutex::new(Pipeline::open()), server })
+    }
+
+    /// Returns the service's base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Publishes the next version of the manifest and returns its number.
+    pub fn publish(&self, docs: Vec<Doc>) -> u64 {
+        let published = lock(&self.pipeline).publish(docs);
+        let version = published.0.version;
+        self.inner.published.send_replace(published);
+        version
+    }
+
+    /// Returns the documents that were last published.
+    pub fn docs(&self) -> Vec<Doc> {
+        lock(&self.pipeline).docs()
+    }
+
+    /// Makes the service answer with errors, or work again.
+    pub fn set_down(&self, down: bool) {
+        *lock(&self.inner.down) = down;
+    }
+
+    /// Makes the service go on answering what it answers now, or the truth again.
+    pub fn set_stale(&self, stale: bool) {
+        let now = self.inner.published.borrow().clone();
+        *lock(&self.inner.stale) = stale.then_some(now);
+    }
+
+    /// Makes each answer take `delay` longer.
+    pub fn set_slow(&self, delay: Duration) {
+        *lock(&self.inner.slow) = delay;
+    }
+
+    /// Sets the list of live VMs of a service.
+    pub fn set_live(&self, service: &str, names: impl IntoIterator<Item = Name>) {
+        lock(&self.inner.live).insert(service.into(), names.into_iter().collect());
+    }
+
+    /// Sets what the health endpoint of a backend server says: ok, cold or draining.
+    pub fn set_health(&self, backend: &str, state: &'static str) {
+        lock(&self.inner.health).insert(backend.into(), state);
+    }
+
+    /// Returns the URL of the health endpoint of a backend server.
+    pub fn health_url(&self, backend: &str) -> String {
+        format!("{}/health/{backend}", self.url())
+    }
+
+    /// Returns the number of calls so far; a waiting watch counts as one.
+    pub fn calls(&self) -> u64 {
+        self.inner.calls.load(Ordering::Relaxed)
+    }
+
+    /// Stops the service.
+    pub fn stop(&self) {
+        drop(self.server.stop(false));
+    }
+}
+
+fn serve(inner: Arc<Inner>, address: SocketAddr) -> io::Result<ntex::server::Server> {
+    let app = async move || {
+        web::App::new()
+            .state(inner.clone())
+            .service(web::resource("/index").route(web::get().to(index)))
+            .service(web::resource("/service/{name}").route(web::get().to(service)))
+            .service(web::resource("/live/{name}").route(web::get().to(live)))
+            .service(web::resource("/health/{name}").route(web::get().to(health)))
+    };
+    Ok(web::server(app).workers(1).disable_signals().bind(address)?.run())
+}
+
+async fn index(inner: State<Arc<Inner>>, wait: Query<Wait>) -> HttpResponse {
+    if let Some(refusal) = inner.refusal().await {
+        return refusal;
+    }
+    let stale = lock(&inner.stale).clone();
+    if let Some((index, _)) = stale {
+        return HttpResponse::Ok().json(&index);
+    }
+    let mut published = inner.published.subscribe();
+    let later = published.wait_for(|(index, _)| index.version > wait.after);
+    let limit = Duration::from_millis(wait.wait_ms);
+    match tokio::time::timeout(limit, later).await {
+        Ok(Ok(published)) => HttpResponse::Ok().json(&published.0),
+        _ => HttpResponse::NotModified().finish(),
+    }
+}
+
+async fn service(inner: State<Arc<Inner>>, name: Path<String>) -> HttpResponse {
+    if let Some(refusal) = inner.refusal().await {
+        return refusal;
+    }
+    let stale = lock(&inner.stale).clone();
+    let (_, docs) = stale.unwrap_or_else(|| inner.published.borrow().clone());
+    match docs.iter().find(|d| d.service.as_str() == *name) {
+        Some(doc) => HttpResponse::Ok().json(&**doc),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn live(inner: State<Arc<Inner>>, name: Path<String>) -> HttpResponse {
+    if let Some(refusal) = inner.refusal().await {
+        return refusal;
+    }
+    let list = lock(&inner.live).get(name.as_str()).cloned();
+    HttpResponse::Ok().json(&list.unwrap_or_default())
+}
+
+async fn health(inner: State<Arc<Inner>>, name: Path<String>) -> HttpResponse {
+    let state = lock(&inner.health).get(name.as_str()).copied().unwrap_or("ok");
+    HttpResponse::Ok().json(&serde_json::json!({ "state": state, "load": 0.5 }))
+}
+
+impl Inner {
+    async fn refusal(&self) -> Option<HttpResponse> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let slow = *lock(&self.slow);
+        if !slow.is_zero() {
+            tokio::time::sleep(slow).await;
+        }
+        let down = *lock(&self.down);
+        down.then(|| HttpResponse::ServiceUnavailable().finish())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
