--- /dev/null
+++ b/daemon/examples/demo.rs
@@ -0,0 +1,68 @@
+//! The main job in one go: two services under random spray while a backend
+//! server drains, one joins and an entry leaves.
+
+#[path = "demo/callers.rs"]
+mod callers;
+#[path = "demo/fleet.rs"]
+mod fleet;
+#[path = "demo/totals.rs"]
+mod totals;
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use callers::Load;
+use fleet::Fleet;
+
+/// Time for which callers work.
+const RUN: Duration = Duration::from_secs(12);
+/// Time that the last notification is given to reach every channel.
+const LAST: Duration = Duration::from_secs(3);
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<bool, Box<dyn std::error::Error>> {
+    println!("starting a platform, 3 entries, 7 + 4 backend servers with their agents");
+    let mut fleet = Fleet::spawn()?;
+    fleet.wait_until_ready()?;
+    println!("opening channels, then reports and downloads for {} s", RUN.as_secs());
+    let load = Load::spawn(&fleet.addresses());
+    load.wait_for_channels();
+    let start = Instant::now();
+    let seconds = |s: u64| start + Duration::from_secs(s);
+
+    sleep_until(seconds(2));
+    println!("  2 s: alarm-0 drains");
+    fleet.drain("alarm-0");
+    sleep_until(seconds(5));
+    let joined = fleet.join()?;
+    println!("  5 s: {joined} joins");
+    sleep_until(seconds(8));
+    println!("  8 s: entry-2 leaves");
+    fleet.remove_entry()?;
+    sleep_until(start + RUN);
+    println!(" 12 s: last notification, then the count");
+    load.stop_work();
+    fleet.notify("last");
+    load.finish(LAST);
+
+    let totals = load.count(&fleet);
+    fleet.stop();
+    println!("{totals}");
+    println!("{}", totals.line());
+    Ok(totals.is_clean())
+}
+
+fn sleep_until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
--- /dev/null
+++ b/daemon/examples/demo/callers.rs
@@ -0,0 +1,190 @@
+//! The callers of the demo.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_testutils::backend::BLOCKS;
+use lagoonhollow_testutils::backend::download_block;
+use lagoonhollow_testutils::caller::Caller;
+use lagoonhollow_testutils::hosts;
+
+use crate::fleet::Fleet;
+use crate::totals::Totals;
+
+/// Callers with a standing channel that also report.
+const STANDING: usize = 40;
+/// Callers that only report.
+const REPORTING: usize = 16;
+/// Callers that download.
+const DOWNLOADING: usize = 8;
+/// Time between two reports of a caller.
+const PAUSE: Duration = Duration::from_millis(40);
+
+#[derive(Debug, Default)]
+struct Shared {
+    totals: Mutex<Totals>,
+    outcomes: Mutex<HashMap<String, Code>>,
+    open: AtomicU64,
+    stop: AtomicBool,
+    end: AtomicBool,
+}
+
+/// All callers, in a thread of their own.
+pub struct Load {
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Load {
+    pub fn spawn(addresses: &[(String, SocketAddr)]) -> Self {
+        let shared = Arc::new(Shared::default());
+        let (ours, addresses) = (shared.clone(), addresses.to_vec());
+        let thread = thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let Ok(runtime) = runtime else { return };
+            let tasks = tokio::task::LocalSet::new();
+            tasks.block_on(&runtime, work(ours, addresses));
+        });
+        Self { shared, thread: Some(thread) }
+    }
+
+    pub fn wait_for_channels(&self) {
+        for _ in 0..500 {
+            if self.shared.open.load(Ordering::Relaxed) >= STANDING as u64 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn stop_work(&self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(500));
+    }
+
+    pub fn finish(&self, limit: Duration) {
+        thread::sleep(limit);
+        self.shared.end.store(true, Ordering::Relaxed);
+    }
+
+    pub fn count(mut self, fleet: &Fleet) -> Totals {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        let mut totals = self.shared.totals.lock().unwrap().clone();
+        let mut runs: HashMap<String, u64> = HashMap::new();
+        for record in fleet.records() {
+            totals.misrouted += record.misrouted;
+            record.ran.into_iter().for_each(|body| *runs.entry(body).or_default() += 1);
+        }
+        totals.double_runs = runs.values().filter(|n| **n > 1).count() as u64;
+        let outcomes = self.shared.outcomes.lock().unwrap();
+        let refused = outcomes.iter().filter(|(_, code)| matches!(code, Code::NotRun(_)));
+        totals.false_not_run = refused.filter(|(body, _)| runs.contains_key(*body)).count() as u64;
+        totals.manifest_seconds = fleet.spread.iter().copied().fold(0.0, f64::max);
+        totals
+    }
+}
+
+async fn work(shared: Arc<Shared>, addresses: Vec<(String, SocketAddr)>) {
+    let (alarm, firmware) = (addresses[0].clone(), addresses[1].clone());
+    let mut tasks = Vec::new();
+    for i in 0..STANDING {
+        tasks.push(tokio::task::spawn_local(stand(shared.clone(), alarm.clone(), i)));
+    }
+    for i in 0..REPORTING {
+        tasks.push(tokio::task::spawn_local(report(shared.clone(), alarm.clone(), i)));
+    }
+    for i in 0..DOWNLOADING {
+        tasks.push(tokio::task::spawn_local(download(shared.clone(), firmware.clone(), i)));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+}
+
+/// Keeps a channel open, reports over the same flow, and waits for the last
+/// notification.
+async fn stand(shared: Arc<Shared>, (service, address): (String, SocketAddr), i: usize) {
+    let Ok(mut caller) = Caller::connect(hosts::next(), address).await else { return };
+    let opened = caller.observe("alarms").await;
+    if opened.is_none_or(|a| a.code != Code::Content) {
+        shared.totals.lock().unwrap().broken_flows += 1;
+        return;
+    }
+    shared.open.fetch_add(1, Ordering::Relaxed);
+    let mut sent = 0;
+    while !shared.stop.load(Ordering::Relaxed) {
+        hand_in(&shared, &mut caller, format!("{service}:c{i}-{sent}")).await;
+        sent += 1;
+        tokio::time::sleep(PAUSE * 10).await;
+    }
+    let expected = format!("{service}:last");
+    let mut last = false;
+    while !last && !shared.end.load(Ordering::Relaxed) {
+        let note = caller.notification(Duration::from_millis(200)).await;
+        last = note.is_some_and(|n| *n.body == *expected.as_bytes());
+    }
+    let mut totals = shared.totals.lock().unwrap();
+    if last {
+        totals.channels += 1;
+    } else {
+        totals.broken_flows += 1;
+    }
+}
+
+async fn report(shared: Arc<Shared>, (service, address): (String, SocketAddr), i: usize) {
+    let mut sent = 0;
+    while !shared.stop.load(Ordering::Relaxed) {
+        // A few reports a flow, then a new flow.
+        let Ok(mut caller) = Caller::connect(hosts::next(), address).await else { return };
+        for _ in 0..8 {
+            hand_in(&shared, &mut caller, format!("{service}:r{i}-{sent}")).await;
+            sent += 1;
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn hand_in(shared: &Shared, caller: &mut Caller, body: String) {
+    let answer = caller.post("report", &body).await;
+    let mut totals = shared.totals.lock().unwrap();
+    let Some(answer) = answer else {
+        totals.unanswered += 1;
+        return;
+    };
+    match answer.code {
+        Code::Changed if *answer.body == *format!("done:{body}").as_bytes() => totals.reports += 1,
+        Code::Changed => totals.wrong_answers += 1,
+        Code::NotRun(_) => totals.refused += 1,
+        Code::Unknown(_) => totals.unknown += 1,
+        _ => totals.wrong_answers += 1,
+    }
+    drop(totals);
+    shared.outcomes.lock().unwrap().insert(body, answer.code);
+}
+
+async fn download(shared: Arc<Shared>, (service, address): (String, SocketAddr), i: usize) {
+    let whole: String = (0..BLOCKS).map(|n| download_block(&service, "image", n)).collect();
+    while !shared.stop.load(Ordering::Relaxed) {
+        let Ok(mut caller) = Caller::connect(hosts::next(), address).await else { return };
+        let file = caller.download("image").await;
+        let mut totals = shared.totals.lock().unwrap();
+        match file {
+            Some(file) if file == whole => totals.downloads += 1,
+            Some(_) => totals.wrong_answers += 1,
+            None => totals.incomplete += 1,
+        }
+        drop(totals);
+        tokio::time::sleep(PAUSE * (5 + i as u32)).await;
+    }
+}
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -21,7 +21,7 @@
 /// Time after which a request is first sent again.
 const FIRST_RETRY: Duration = Duration::from_millis(400);
 /// Times a request is sent at most.
-const MAX_SENDS: u32 = 6;
+const MAX_SENDS: u32 = 4;
 
 /// A caller with one flow to one service.
 #[derive(Debug)]
