Keep grants beyond every late transmission

A paused agent handled a queued transmission 7.8 s late, and a paused witness handled its question later still, after the lifetime of 8 s for which it had remembered the first grant. Ruled out: longer memory alone (any pause can be longer); flushing queues on waking up (messages that wait look like any other); a ticket from each witness (one more round trip for every report). Change: an entry stamps each packet with the time it took it; agents and witnesses drop transmissions older than a lifetime and remember for two, so nothing is handled after it was forgotten. A started witness abstains only on requests that may have begun before it. This needs clocks within 1 s of each other, which the design had avoided; a clock off by more only refuses. Tests: random schedules of pauses, cuts, restarts, kills, joins, drops and weight changes with quickcheck's shrinking; four safeguards can be switched off in tests only, and the check catches each: no abstention, one membership only, refusal without a majority, grants forgotten at a version change.

--- a/daemon/src/connection/entry.rs
+++ b/daemon/src/connection/entry.rs
@@ -191,10 +191,12 @@
         self.options.metrics.received.inc();
         let mut door = self.door.borrow_mut();
         let Some(door) = door.as_mut() else { return };
-        let target = door.forward(&header, self.options.clock.now());
+        let seen = self.options.clock.now();
+        let target = door.forward(&header, seen);
         if let Ok(target) = target {
             let via = self.via.clone();
-            let pass = Pass { header, raw: raw.into(), via, mode: Mode::Route, hops: 0 };
+            let mode = Mode::Route;
+            let pass = Pass { header, raw: raw.into(), via, seen, mode, hops: 0 };
             self.link.send(&target.agent, target.link, door.version(), Message::Pass(pass));
         }
     }
--- a/lib/src/connection/router.rs
+++ b/lib/src/connection/router.rs
@@ -419,11 +419,6 @@
         self.claim_all_to(context, peer, now);
     }
 
-    /// Takes in that a peer answers again: it may have missed claims.
-    pub fn returned(&mut self, context: &mut Context, peer: &Name, now: Moment) {
-        self.claim_all_to(context, peer, now);
-    }
-
     /// Takes in that a peer is presumed dead.
     pub fn died(&mut self, context: &mut Context, peer: &Name, now: Moment) -> Vec<Outcome<C>> {
         let over = self.flows.give_up(peer);
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -18,6 +18,8 @@
 use super::peers::Sign;
 use super::reason::Reason;
 use super::recovery::Recovery;
+#[cfg(feature = "variants")]
+use super::safeguard::Safeguard;
 use super::tally::Tally;
 use crate::connection::arrival::Arrival;
 use crate::connection::channel::Moved;
@@ -99,13 +101,12 @@
         now: Moment,
     ) -> Self {
         let slots = service.doc.backend(me.as_str()).map_or(1, |b| b.slots);
-        let lifetime = service.doc.lifetime;
         let context = Context::open(me, run, manifest, service, seed, now);
         Self {
             router: Router::open(&context, now),
             context,
             requests: Requests::open(run, slots),
-            votes: Votes::open(lifetime, now),
+            votes: Votes::open(now),
             channels: Channels::open(),
             handover: Handover::open(),
             recovery: Recovery::open(now),
@@ -114,6 +115,13 @@
         }
     }
 
+    /// Switches a safeguard off, to show that its check can fail.
+    #[cfg(feature = "variants")]
+    pub fn without(&mut self, safeguard: Safeguard, now: Moment) {
+        self.context.without = Some(safeguard);
+        self.votes.sweep(&self.context, now);
+    }
+
     /// Returns what all decisions share.
     pub fn context(&self) -> &Context {
         &self.context
@@ -153,6 +161,7 @@
                 self.requests.admission().resize(me.slots);
             }
             self.requests.joint_changed(&mut self.context);
+            self.votes.joint_changed(&self.context);
             self.router.enforce(&mut self.context, now);
             self.recovery = Recovery::open(now);
             self.beaten = None;
@@ -201,10 +210,8 @@
         match self.context.peers.heard(&from, run, now) {
             Sign::Known => {}
             Sign::Outdated => return Vec::new(),
-            Sign::Returned => {
-                self.spread(&from, false, now);
-                self.router.returned(&mut self.context, &from, now);
-            }
+            // Claims that it missed are repeated until it answers them.
+            Sign::Returned => self.spread(&from, false, now),
             Sign::Restarted => {
                 self.spread(&from, false, now);
                 self.requests.restarted(&from, run);
@@ -252,8 +259,7 @@
             self.router.flows().pin(&flow, false);
         }
         self.sweep_handover(now);
-        let lifetime = self.context.joint.lifetime();
-        self.votes.sweep(&self.context, lifetime, now);
+        self.votes.sweep(&self.context, now);
         if self.context.joint.sweep(now) {
             self.context.refresh_peers(now);
         }
@@ -286,8 +292,8 @@
                 }
             }
             Message::Gone { flow } => self.router.gone(&from, &flow),
-            Message::Elect { key, holder, revisions } => {
-                let vote = self.votes.elect(context, key, &holder, &revisions, now);
+            Message::Elect { key, holder, seen, revisions } => {
+                let vote = self.votes.elect(context, key, &holder, seen, &revisions, now);
                 let reply = match vote {
                     Ok(vote) => Message::Voted { key, vote },
                     Err(memberships) => Message::Behind { key, memberships },
--- a/lib/src/process/context.rs
+++ b/lib/src/process/context.rs
@@ -17,8 +17,10 @@
 use super::name::Name;
 use super::peers::Peers;
 use super::reason::Reason;
+use super::safeguard::Safeguard;
 use super::tally::Tally;
 use crate::connection::flow::FlowKey;
+use crate::request::freshness::Freshness;
 use crate::request::grant::Holder;
 use crate::version::backend::Backend;
 use crate::version::joint::Joint;
@@ -56,6 +58,9 @@
     former: Vec<Backend>,
     entries: VecDeque<Via>,
     actions: Vec<Action>,
+    /// A safeguard that is switched off.
+    #[cfg(feature = "variants")]
+    pub without: Option<Safeguard>,
 }
 
 impl Context {
@@ -82,6 +87,8 @@
             former: Vec::new(),
             entries: VecDeque::new(),
             actions: Vec::new(),
+            #[cfg(feature = "variants")]
+            without: None,
         };
         context.learn_former(service);
         context.refresh_peers(now);
@@ -136,6 +143,11 @@
         Health { leaving: self.health.leaving || drain || !self.is_member(), ..self.health }
     }
 
+    /// Returns the times that follow from the service's request lifetime.
+    pub fn freshness(&self) -> Freshness {
+        Freshness::open(self.joint.lifetime())
+    }
+
     /// Returns this run as a holder of requests.
     pub fn holder(&self) -> Holder {
         Holder { agent: self.me.clone(), run: self.run }
@@ -194,6 +206,14 @@
         others[at].clone()
     }
 
+    /// Returns whether a safeguard is in place; outside of tests all are.
+    pub fn keeps(&self, safeguard: Safeguard) -> bool {
+        #[cfg(feature = "variants")]
+        return self.without != Some(safeguard);
+        #[cfg(not(feature = "variants"))]
+        return safeguard.is_kept();
+    }
+
     /// Queues an action.
     pub fn act(&mut self, action: Action) {
         self.actions.push(action);
--- a/lib/src/process/message.rs
+++ b/lib/src/process/message.rs
@@ -8,6 +8,7 @@
 
 use super::health::Health;
 use super::incarnation::Incarnation;
+use super::moment::Moment;
 use super::name::Name;
 use super::notice::Notice;
 use crate::connection::channel::Moved;
@@ -50,6 +51,8 @@
     pub raw: Arc<[u8]>,
     /// Where the answer returns through.
     pub via: Via,
+    /// Unix time at which the entry took it, by the entry's clock.
+    pub seen: Moment,
     /// How it is passed on.
     pub mode: Mode,
     /// Processes passed so far.
@@ -93,6 +96,8 @@
         key: RequestKey,
         /// Who wants to run it.
         holder: Holder,
+        /// When an entry took the transmission that led to this question.
+        seen: Moment,
         /// Revisions of the memberships that the ballot counts under.
         revisions: Vec<u64>,
     },
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -16,4 +16,5 @@
 pub mod reason;
 pub mod recovery;
 pub mod rumors;
+pub mod safeguard;
 pub mod tally;
--- a/lib/src/process/reason.rs
+++ b/lib/src/process/reason.rs
@@ -51,6 +51,8 @@
     AnswerLost,
     /// An answer matched no open request.
     LateAnswer,
+    /// The packet was taken too long ago, or in the future, by the entry's clock.
+    Stale,
     /// A duplicate of a request that is still being worked on.
     Duplicate,
     /// The answer to a finished request was sent again.
@@ -93,7 +95,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 41] = [
         Self::NoService,
         Self::NoBackend,
         Self::WrongService,
@@ -115,6 +117,7 @@
         Self::HeldElsewhere,
         Self::AnswerLost,
         Self::LateAnswer,
+        Self::Stale,
         Self::Duplicate,
         Self::Replayed,
         Self::RetryElsewhere,
--- a/lib/src/request/ballot.rs
+++ b/lib/src/request/ballot.rs
@@ -6,9 +6,10 @@
 
 use super::grant::Holder;
 use super::key::RequestKey;
+use crate::process::context::Context;
 use crate::process::incarnation::Incarnation;
 use crate::process::name::Name;
-use crate::version::joint::Joint;
+use crate::process::safeguard::Safeguard;
 use crate::version::membership::Membership;
 
 /// Witnesses of a request, fewer where the service has fewer members.
@@ -24,9 +25,9 @@
 }
 
 impl Ballot {
-    /// Opens a ballot under all memberships of `joint`.
-    pub fn open(key: RequestKey, joint: &Joint) -> Self {
-        let memberships = joint.all().cloned().collect();
+    /// Opens a ballot under all open memberships.
+    pub fn open(key: RequestKey, context: &Context) -> Self {
+        let memberships = counted(context).cloned().collect();
         Self { key, memberships, votes: BTreeMap::new(), against: BTreeMap::new() }
     }
 
@@ -36,9 +37,9 @@
     }
 
     /// Takes in memberships that were opened since.
-    pub fn extend(&mut self, joint: &Joint) {
+    pub fn extend(&mut self, context: &Context) {
         let known = self.revisions();
-        let new = joint.all().filter(|m| !known.contains(&m.revision));
+        let new = counted(context).filter(|m| !known.contains(&m.revision));
         self.memberships.extend(new.cloned());
     }
 
@@ -94,3 +95,10 @@
     let ranks = membership.ranks(key.hash(), WITNESSES);
     ranks.into_iter().map(|b| b.name.clone()).collect()
 }
+
+/// Returns the memberships that a majority is needed of.
+fn counted(context: &Context) -> impl Iterator<Item = &Arc<Membership>> {
+    let all = context.keeps(Safeguard::JointMajority);
+    let current = context.joint.current().revision;
+    context.joint.all().filter(move |m| all || m.revision == current)
+}
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -30,7 +30,7 @@
     Done(Answer),
 }
 
-/// A request, kept for one request lifetime.
+/// A request, kept for as long as a transmission of it may be handled.
 #[derive(Clone, Debug)]
 pub struct Exchange {
     /// Where it stands.
--- a/lib/src/request/requests.rs
+++ b/lib/src/request/requests.rs
@@ -32,6 +32,7 @@
 use crate::process::moment::Moment;
 use crate::process::name::Name;
 use crate::process::reason::Reason;
+use crate::process::safeguard::Safeguard;
 
 /// Requests kept at most; further ones are dropped, none is forgotten early.
 pub const MAX_EXCHANGES: usize = 65_536;
@@ -111,6 +112,10 @@
         now: Moment,
     ) {
         let key = RequestKey { flow: pass.header.flow, id: request.id };
+        if !context.freshness().is_fresh(pass.seen, now) {
+            context.count(Reason::Stale);
+            return;
+        }
         if let Some(exchange) = self.exchanges.get_mut(&key).filter(|e| !e.is_stranded(context)) {
             exchange.repeat(context, key, pass);
             return;
@@ -129,12 +134,17 @@
         }
         let deadline = now + self.deadline(context, &request.path);
         if request.method.is_idempotent() {
-            self.insert(key, Stage::Queued(Run::idempotent(request, deadline)), pass, now);
+            self.insert(
+                key,
+                Stage::Queued(Run::idempotent(request, pass.seen, deadline)),
+                pass,
+                now,
+            );
             self.admit(context, key, now);
             return;
         }
-        let ballot = Ballot::open(key, &context.joint);
-        let run = Run::open(request, deadline, ballot, now);
+        let ballot = Ballot::open(key, context);
+        let run = Run::open(request, pass.seen, deadline, ballot, now);
         self.insert(key, Stage::Asking(run), pass, now);
         self.ask(context, votes, key, now);
     }
@@ -168,7 +178,7 @@
     pub fn joint_changed(&mut self, context: &mut Context) {
         for key in &self.active {
             if let Some(Stage::Asking(asking)) = self.exchanges.get_mut(key).map(|e| &mut e.stage) {
-                asking.state.ballot.extend(&context.joint);
+                asking.state.ballot.extend(context);
                 asking.state.asked = Moment(0);
             }
         }
@@ -309,6 +319,7 @@
             return;
         };
         asking.state.asked = now;
+        let seen = asking.seen;
         if context.joint.is_full() {
             return;
         }
@@ -318,10 +329,11 @@
         let me = context.me.clone();
         for witness in missing.iter().filter(|w| **w != me) {
             let revisions = revisions.clone();
-            context.send(witness, Message::Elect { key, holder: holder.clone(), revisions });
+            let holder = holder.clone();
+            context.send(witness, Message::Elect { key, holder, seen, revisions });
         }
         if missing.contains(&me)
-            && let Ok(vote) = votes.elect(context, key, &holder, &revisions, now)
+            && let Ok(vote) = votes.elect(context, key, &holder, seen, &revisions, now)
         {
             let run = context.run;
             self.voted(context, &me, run, key, vote, now);
@@ -440,7 +452,11 @@
     fn give_up(&mut self, context: &mut Context, key: RequestKey, reason: Reason) {
         let Some(run) = self.take_asking(&key) else { return };
         context.count(reason);
-        self.finish(context, key, run.give_up(reason));
+        let mut answer = run.give_up(reason);
+        if !context.keeps(Safeguard::MajorityBeforeRefusal) {
+            answer.code = Code::NotRun(reason);
+        }
+        self.finish(context, key, answer);
     }
 
     fn finish(&mut self, context: &mut Context, key: RequestKey, answer: Answer) {
@@ -454,9 +470,9 @@
     }
 
     fn forget(&mut self, context: &Context, now: Moment) {
-        let lifetime = context.joint.lifetime();
+        let memory = context.freshness().memory();
         while let Some((at, key)) = self.order.front().copied() {
-            if now.since(at) <= lifetime || self.active.contains(&key) {
+            if now.since(at) <= memory || self.active.contains(&key) {
                 break;
             }
             self.exchanges.remove(&key);
--- a/lib/src/request/run.rs
+++ b/lib/src/request/run.rs
@@ -37,6 +37,8 @@
 pub struct Run<S> {
     /// The request.
     pub request: Request,
+    /// When an entry took its first transmission that came here.
+    pub seen: Moment,
     /// When its answer stops being of use.
     pub deadline: Moment,
     /// Where it stands.
@@ -45,8 +47,14 @@
 
 impl Run<Asking> {
     /// Opens a request that needs a majority of its witnesses.
-    pub fn open(request: Request, deadline: Moment, ballot: Ballot, now: Moment) -> Self {
-        Self { request, deadline, state: Asking { ballot, asked: now } }
+    pub fn open(
+        request: Request,
+        seen: Moment,
+        deadline: Moment,
+        ballot: Ballot,
+        now: Moment,
+    ) -> Self {
+        Self { request, seen, deadline, state: Asking { ballot, asked: now } }
     }
 
     /// Moves on once every open membership's majority is there.
@@ -56,7 +64,7 @@
     /// Returns the request unchanged while votes are missing.
     pub fn hold(self) -> Result<Run<Held>, Box<Self>> {
         if self.state.ballot.is_held() {
-            Ok(Run { request: self.request, deadline: self.deadline, state: Held })
+            Ok(Run { request: self.request, seen: self.seen, deadline: self.deadline, state: Held })
         } else {
             Err(Box::new(self))
         }
@@ -70,8 +78,8 @@
 
 impl Run<Held> {
     /// Opens an idempotent request, which needs no votes.
-    pub fn idempotent(request: Request, deadline: Moment) -> Self {
-        Self { request, deadline, state: Held }
+    pub fn idempotent(request: Request, seen: Moment, deadline: Moment) -> Self {
+        Self { request, seen, deadline, state: Held }
     }
 
     /// Refuses the request; nobody will run it.
@@ -82,7 +90,7 @@
     /// Hands the request to the backend server under number `id`.
     pub fn start(self, id: u64, now: Moment) -> Run<Started> {
         let state = Started { id, at: now };
-        Run { request: self.request, deadline: self.deadline, state }
+        Run { request: self.request, seen: self.seen, deadline: self.deadline, state }
     }
 }
 
@@ -100,6 +108,6 @@
 
     /// Takes the request back: the backend server says that it did not start it.
     pub fn take_back(self) -> Run<Held> {
-        Run { request: self.request, deadline: self.deadline, state: Held }
+        Run { request: self.request, seen: self.seen, deadline: self.deadline, state: Held }
     }
 }
--- a/lib/src/request/votes.rs
+++ b/lib/src/request/votes.rs
@@ -1,7 +1,6 @@
 //! An agent's part as a witness, from its start to its regular work.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use super::grant::Grant;
 use super::grant::Holder;
@@ -14,6 +13,7 @@
 use crate::process::moment::Moment;
 use crate::process::name::Name;
 use crate::process::reason::Reason;
+use crate::process::safeguard::Safeguard;
 use crate::version::membership::Membership;
 
 #[derive(Debug)]
@@ -24,20 +24,18 @@
 
 /// A witness and what it still has to learn after its start.
 ///
-/// It abstains for one request lifetime, or until every member of every open
-/// membership has told it which requests it may have granted before.
+/// It abstains on requests that may have begun before its start, until every
+/// member of every open membership has told it which ones it may have granted.
 #[derive(Debug)]
 pub struct Votes {
     stage: Stage,
     told: BTreeSet<Name>,
-    lifetime: Duration,
 }
 
 impl Votes {
     /// Opens a witness that has just started.
-    pub fn open(lifetime: Duration, now: Moment) -> Self {
-        let stage = Stage::Abstaining(Witness::open(now, lifetime));
-        Self { stage, told: BTreeSet::new(), lifetime }
+    pub fn open(now: Moment) -> Self {
+        Self { stage: Stage::Abstaining(Witness::open(now)), told: BTreeSet::new() }
     }
 
     /// Returns whether the witness still abstains.
@@ -55,15 +53,19 @@
         context: &mut Context,
         key: RequestKey,
         holder: &Holder,
+        seen: Moment,
         revisions: &[u64],
         now: Moment,
     ) -> Result<Vote, Vec<Membership>> {
-        if context.joint.all().any(|m| !revisions.contains(&m.revision)) {
+        let lacking = context.joint.all().any(|m| !revisions.contains(&m.revision));
+        if lacking && context.keeps(Safeguard::JointMajority) {
             context.count(Reason::Behind);
             return Err(context.joint.all().map(|m| (**m).clone()).collect());
         }
+        let freshness = context.freshness();
         let vote = match &mut self.stage {
-            Stage::Abstaining(_) => Vote::Abstained,
+            _ if !freshness.is_fresh(seen, now) => Vote::Abstained,
+            Stage::Abstaining(witness) => witness.vote(key, holder, seen, freshness, now),
             Stage::Granting(witness) => witness.vote(key, holder, now),
         };
         if vote == Vote::Abstained {
@@ -112,21 +114,21 @@
     }
 
     /// Forgets what is too old and ends the abstention when it is due.
-    pub fn sweep(&mut self, context: &Context, lifetime: Duration, now: Moment) {
-        if lifetime > self.lifetime {
-            let longer = lifetime - self.lifetime;
-            self.lifetime = lifetime;
-            if let Stage::Abstaining(w) = &mut self.stage {
-                w.extend(longer);
-            }
-        }
+    pub fn sweep(&mut self, context: &Context, now: Moment) {
         match &mut self.stage {
-            Stage::Abstaining(w) => w.expire(now, self.lifetime),
-            Stage::Granting(w) => w.expire(now, self.lifetime),
+            Stage::Abstaining(w) => w.expire(context.freshness(), now),
+            Stage::Granting(w) => w.expire(context.freshness(), now),
         }
         self.advance(context, now);
     }
 
+    /// Follows a change of the open memberships: grants outlast it.
+    pub fn joint_changed(&mut self, context: &Context) {
+        if !context.keeps(Safeguard::GrantMemory) {
+            self.stage = Stage::Granting(Witness::open(Moment(0)).grant());
+        }
+    }
+
     /// Returns the number of grants remembered.
     pub fn len(&self) -> usize {
         match &self.stage {
@@ -145,8 +147,9 @@
         let Stage::Abstaining(witness) = &self.stage else {
             return;
         };
-        if told || witness.is_due(now) {
-            let fresh = Witness::open(now, Duration::ZERO);
+        if told || witness.is_due(context.freshness(), now) || !context.keeps(Safeguard::Abstention)
+        {
+            let fresh = Witness::open(now);
             if let Stage::Abstaining(witness) =
                 std::mem::replace(&mut self.stage, Stage::Abstaining(fresh))
             {
--- a/lib/src/request/witness.rs
+++ b/lib/src/request/witness.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::freshness::Freshness;
 use super::grant::Grant;
 use super::grant::Holder;
 use super::key::RequestKey;
@@ -15,13 +15,14 @@
 /// Grants remembered at most; further requests are refused, none is forgotten.
 pub const MAX_GRANTS: usize = 200_000;
 
-/// Just started: earlier grants are forgotten, so nothing is granted.
+/// Just started: earlier grants are forgotten, so only requests that began
+/// since are granted.
 #[derive(Clone, Copy, Debug)]
 pub struct Abstaining {
-    until: Moment,
+    start: Moment,
 }
 
-/// One request lifetime old, or brought up to date by every peer.
+/// Old enough, or brought up to date by every peer.
 #[derive(Clone, Copy, Debug)]
 pub struct Granting;
 
@@ -50,9 +51,25 @@
 }
 
 impl Witness<Abstaining> {
-    /// Opens a witness that abstains for one request lifetime.
-    pub fn open(now: Moment, lifetime: Duration) -> Self {
-        Self { state: Abstaining { until: now + lifetime }, memory: Memory::default() }
+    /// Opens a witness that has forgotten what it granted before.
+    pub fn open(now: Moment) -> Self {
+        Self { state: Abstaining { start: now }, memory: Memory::default() }
+    }
+
+    /// Answers an agent that asks for a grant on a transmission taken at `seen`.
+    pub fn vote(
+        &mut self,
+        key: RequestKey,
+        holder: &Holder,
+        seen: Moment,
+        freshness: Freshness,
+        now: Moment,
+    ) -> Vote {
+        if freshness.began_after(self.state.start, seen) {
+            self.memory.vote(key, holder, now)
+        } else {
+            Vote::Abstained
+        }
     }
 
     /// Takes in a grant that a peer knows of.
@@ -66,14 +83,10 @@
         }
     }
 
-    /// Returns whether the abstention is over by time.
-    pub fn is_due(&self, now: Moment) -> bool {
-        now >= self.state.until
-    }
-
-    /// Extends the abstention.
-    pub fn extend(&mut self, longer: Duration) {
-        self.state.until = self.state.until + longer;
+    /// Returns whether no request can be handled any more that began before
+    /// the start.
+    pub fn is_due(&self, freshness: Freshness, now: Moment) -> bool {
+        now.since(self.state.start) > freshness.memory()
     }
 
     /// Starts granting.
@@ -85,15 +98,7 @@
 impl Witness<Granting> {
     /// Answers an agent that asks for a grant.
     pub fn vote(&mut self, key: RequestKey, holder: &Holder, now: Moment) -> Vote {
-        match self.memory.grants.get(&key) {
-            Some((first, _)) if first == holder => Vote::Granted,
-            Some((first, _)) => Vote::Held(first.clone()),
-            None if self.memory.grants.len() >= MAX_GRANTS => Vote::Abstained,
-            None => {
-                self.memory.insert(key, holder.clone(), false, now);
-                Vote::Granted
-            }
-        }
+        self.memory.vote(key, holder, now)
     }
 }
 
@@ -108,10 +113,10 @@
         grants
     }
 
-    /// Forgets grants older than one request lifetime.
-    pub fn expire(&mut self, now: Moment, lifetime: Duration) {
+    /// Forgets grants that no transmission can ask for any more.
+    pub fn expire(&mut self, freshness: Freshness, now: Moment) {
         while let Some((at, key)) = self.memory.order.front() {
-            if now.since(*at) <= lifetime {
+            if now.since(*at) <= freshness.memory() {
                 break;
             }
             self.memory.grants.remove(key);
@@ -131,6 +136,18 @@
 }
 
 impl Memory {
+    fn vote(&mut self, key: RequestKey, holder: &Holder, now: Moment) -> Vote {
+        match self.grants.get(&key) {
+            Some((first, _)) if first == holder => Vote::Granted,
+            Some((first, _)) => Vote::Held(first.clone()),
+            None if self.grants.len() >= MAX_GRANTS => Vote::Abstained,
+            None => {
+                self.insert(key, holder.clone(), false, now);
+                Vote::Granted
+            }
+        }
+    }
+
     fn insert(&mut self, key: RequestKey, holder: Holder, held: bool, now: Moment) {
         if self.grants.insert(key, (holder, held)).is_none() {
             self.order.push_back((now, key));
--- a/lib/src/version/joint.rs
+++ b/lib/src/version/joint.rs
@@ -7,6 +7,7 @@
 use super::membership::Membership;
 use crate::process::moment::Moment;
 use crate::process::name::Name;
+use crate::request::freshness::Freshness;
 
 /// Memberships kept open at most; the check of a run gets no weaker, as work
 /// is refused while more would be needed.
@@ -14,8 +15,9 @@
 
 /// The membership in force and the earlier ones under which work may still run.
 ///
-/// An earlier membership closes one request lifetime after each of its members
-/// has acknowledged a later one or was dropped from the live list.
+/// An earlier membership closes once each of its members has acknowledged a
+/// later one or was dropped from the live list, and no request that ran under
+/// it can be handled any more.
 #[derive(Clone, Debug)]
 pub struct Joint {
     open: Vec<Open>,
@@ -108,9 +110,9 @@
     pub fn sweep(&mut self, now: Moment) -> bool {
         let before = self.open.len();
         let newest = self.current().revision;
-        let lifetime = self.lifetime;
+        let memory = Freshness::open(self.lifetime).memory();
         self.open.retain(|o| {
-            let over = o.settled.is_some_and(|t| now.since(t) > lifetime);
+            let over = o.settled.is_some_and(|t| now.since(t) > memory);
             o.membership.revision == newest || !over
         });
         self.open.len() < before
--- /dev/null
+++ b/lib/tests/at_most_once.rs
@@ -0,0 +1,256 @@
+//! A report runs at most once, and what is refused as not run did not run.
+//!
+//! `LAGOONHOLLOW_SCHEDULES` sets the number of schedules of the long run.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::flow::Protocol;
+use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::process::safeguard::Safeguard;
+use lagoonhollow_testutils::docs;
+use lagoonhollow_testutils::world::World;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// Schedules in the short run.
+const SCHEDULES: u64 = 1_500;
+/// Schedules within which the check must catch each variant.
+const VARIANT_SCHEDULES: u64 = 6_000;
+/// Request lifetime: callers repeat a request for 6 s.
+const LIFETIME: Duration = Duration::from_secs(8);
+const MEMBERS: u16 = 4;
+
+/// One thing that goes wrong, or that an operator does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Pause(u8, u16),
+    Cut(u8, u8, bool),
+    Isolate(u8),
+    Heal,
+    Restart(u8),
+    Kill(u8),
+    Join,
+    Drop(u8),
+    Weight(u8),
+    Loss(u8),
+}
+
+/// A fault and the time in milliseconds after which it comes.
+type Step = (u16, Fault);
+
+/// A schedule of faults under a stream of reports.
+#[derive(Clone, Debug)]
+struct Plan {
+    seed: u64,
+    steps: Vec<Step>,
+}
+
+impl Plan {
+    fn open(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let count = rng.random_range(1..9);
+        let steps = (0..count).map(|_| Self::step(&mut rng)).collect();
+        Self { seed, steps }
+    }
+
+    fn step(rng: &mut Pcg64Mcg) -> Step {
+        let a = rng.random();
+        let fault = match rng.random_range(0..13) {
+            0 | 1 => Fault::Pause(a, rng.random_range(100..9_000)),
+            2 => Fault::Cut(a, rng.random(), rng.random()),
+            3 => Fault::Isolate(a),
+            4 => Fault::Heal,
+            5..=7 => Fault::Restart(a),
+            8 => Fault::Kill(a),
+            9 => Fault::Join,
+            10 => Fault::Drop(a),
+            11 => Fault::Weight(a),
+            _ => Fault::Loss(rng.random_range(0..30)),
+        };
+        (rng.random_range(0..1_500), fault)
+    }
+
+    /// Runs the schedule; returns what must never happen but did.
+    fn run(&self, without: Option<Safeguard>) -> Vec<String> {
+        let mut doc = docs::numbered(0, MEMBERS);
+        doc.lifetime = LIFETIME;
+        let mut world = World::open(self.seed, 3, vec![doc]);
+        world.faults.delay = Duration::from_millis(40);
+        world.run(LIFETIME + Duration::from_secs(1));
+        world.without = without;
+        let names = world.agents();
+        if let Some(safeguard) = without {
+            let now = lagoonhollow_lib::process::moment::Moment(0);
+            for name in &names {
+                world.agent(name).into_iter().for_each(|a| a.without(safeguard, now));
+            }
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ 1);
+        let mut joined = MEMBERS;
+        for (after, fault) in &self.steps {
+            report(&mut world, &mut rng, *after);
+            inflict(&mut world, *fault, &mut joined);
+        }
+        report(&mut world, &mut rng, 1_000);
+        world.run(Duration::from_secs(4));
+        world.faults.cuts.clear();
+        world.faults.drop = 0.0;
+        world.run(Duration::from_secs(10));
+        findings(&world)
+    }
+}
+
+impl Arbitrary for Plan {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self::open(u64::arbitrary(g))
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let whole = self.clone();
+        let without = move |i: usize| {
+            let mut plan = whole.clone();
+            plan.steps.remove(i);
+            plan
+        };
+        Box::new((0..self.steps.len()).map(without))
+    }
+}
+
+fn findings(world: &World) -> Vec<String> {
+    let calls = &world.calls;
+    let double = calls.double_runs().into_iter().map(|k| format!("ran twice: {k:?}"));
+    let not_run = calls.false_not_run().into_iter().map(|k| format!("not run, but ran: {k:?}"));
+    let wrong = calls.wrong_answers().into_iter().map(|k| format!("wrong answer: {k:?}"));
+    double.chain(not_run).chain(wrong).collect()
+}
+
+/// Lets callers report for `time` milliseconds.
+fn report(world: &mut World, rng: &mut Pcg64Mcg, time: u16) {
+    let address = world.docs()[0].address;
+    for _ in 0..4 {
+        for _ in 0..2 {
+            let flow = world.flow(Protocol::Udp, rng.random_range(0..30), address);
+            world.post(flow, "report");
+        }
+        world.run(Duration::from_millis(u64::from(time) / 4));
+    }
+}
+
+fn inflict(world: &mut World, fault: Fault, joined: &mut u16) {
+    let agents = world.agents();
+    let pick = |i: u8| agents[usize::from(i) % agents.len()].clone();
+    let mut docs = world.docs();
+    let count = docs[0].backends.len();
+    let everyone = world.names();
+    match fault {
+        Fault::Pause(a, ms) => world.pause(&pick(a), Duration::from_millis(ms.into())),
+        Fault::Cut(a, b, both) => world.cut(&pick(a), &pick(b), both),
+        Fault::Isolate(a) => {
+            let name = pick(a);
+            everyone.iter().filter(|n| **n != name).for_each(|n| world.cut(&name, n, true));
+        }
+        Fault::Heal => world.faults.cuts.clear(),
+        Fault::Restart(a) => world.restart(&pick(a)),
+        Fault::Kill(a) if agents.len() > 2 => world.kill(&pick(a)),
+        Fault::Join if count < 8 => {
+            *joined += 1;
+            let backend = docs::numbered(0, *joined).backends.pop().unwrap();
+            let name = backend.name.clone();
+            docs[0].backends.push(backend);
+            let version = publish(world, docs, &everyone);
+            world.start(&name, version);
+        }
+        Fault::Drop(a) if count > 2 => {
+            docs[0].backends.remove(usize::from(a) % count);
+            publish(world, docs, &everyone);
+        }
+        Fault::Weight(a) => {
+            let backend = &mut docs[0].backends[usize::from(a) % count];
+            backend.weight = 300 - backend.weight;
+            publish(world, docs, &everyone);
+        }
+        Fault::Loss(percent) => world.faults.drop = f64::from(percent) / 100.0,
+        Fault::Kill(_) | Fault::Join | Fault::Drop(_) => {}
+    }
+}
+
+fn publish(world: &mut World, docs: Vec<lagoonhollow_lib::version::doc::Doc>, all: &[Name]) -> u64 {
+    world.publish(docs, all, Duration::from_secs(3))
+}
+
+/// Runs schedules on all processors; returns the first seed that fails.
+fn first_failure(schedules: u64, without: Option<Safeguard>) -> Option<u64> {
+    let next = AtomicU64::new(0);
+    let failed = AtomicU64::new(u64::MAX);
+    let threads = thread::available_parallelism().map_or(2, usize::from).min(6);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= schedules.min(failed.load(Ordering::Relaxed)) {
+                        return;
+                    }
+                    if !Plan::open(seed).run(without).is_empty() {
+                        failed.fetch_min(seed, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    Some(failed.into_inner()).filter(|seed| *seed != u64::MAX)
+}
+
+#[test]
+fn reports_run_at_most_once() {
+    let given = std::env::var("LAGOONHOLLOW_SCHEDULES").ok();
+    let schedules = given.and_then(|n| n.parse().ok()).unwrap_or(SCHEDULES);
+    if let Some(seed) = first_failure(schedules, None) {
+        let shrunk = shrink(Plan::open(seed));
+        panic!("seed {seed}: {shrunk:?} finds {:#?}", shrunk.run(None));
+    }
+    println!("{schedules} schedules");
+}
+
+#[test]
+fn reports_run_at_most_once_in_drawn_plans() {
+    fn holds(plan: Plan) -> TestResult {
+        TestResult::from_bool(plan.run(None).is_empty())
+    }
+    let draw = Gen::from_size_and_seed(100, 20_261_204);
+    QuickCheck::new().rng(draw).tests(200).quickcheck(holds as fn(Plan) -> TestResult);
+}
+
+#[test]
+fn the_check_catches_a_witness_that_does_not_abstain() {
+    assert_ne!(first_failure(VARIANT_SCHEDULES, Some(Safeguard::Abstention)), None);
+}
+
+#[test]
+fn the_check_catches_majorities_of_one_membership_only() {
+    assert_ne!(first_failure(VARIANT_SCHEDULES, Some(Safeguard::JointMajority)), None);
+}
+
+#[test]
+fn the_check_catches_a_refusal_without_a_majority() {
+    assert_ne!(first_failure(VARIANT_SCHEDULES, Some(Safeguard::MajorityBeforeRefusal)), None);
+}
+
+#[test]
+fn the_check_catches_grants_forgotten_at_a_change_of_version() {
+    assert_ne!(first_failure(VARIANT_SCHEDULES, Some(Safeguard::GrantMemory)), None);
+}
+
+/// Leaves out steps while the plan still fails.
+fn shrink(plan: Plan) -> Plan {
+    let smaller = plan.shrink().find(|p| !p.run(None).is_empty());
+    smaller.map_or(plan, shrink)
+}
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -76,6 +76,9 @@
     pub calls: Calls,
     /// Service time of work on backend servers.
     pub work: Duration,
+    /// A safeguard that agents started from now on lack.
+    #[cfg(feature = "variants")]
+    pub without: Option<lagoonhollow_lib::process::safeguard::Safeguard>,
     now: Moment,
     rng: Pcg64Mcg,
     events: Events,
@@ -112,6 +115,8 @@
             faults,
             calls: Calls::default(),
             work: Duration::from_millis(10),
+            #[cfg(feature = "variants")]
+            without: None,
             now: START,
             rng: Pcg64Mcg::seed_from_u64(seed),
             events: Events::default(),
@@ -186,6 +191,8 @@
         let manifest = self.versions[&version].clone();
         let seed = self.rng.random();
         if let Some(node) = Node::open(name, run, manifest, seed, self.now) {
+            #[cfg(feature = "variants")]
+            let node = node.without(self.without, self.now);
             self.nodes.insert(name.clone(), node);
             self.events.push(self.now, Event::Tick { name: name.clone(), run });
         }
--- a/testutils/src/world/calls.rs
+++ b/testutils/src/world/calls.rs
@@ -203,7 +203,7 @@
         let via = Via { entry: name.clone(), link };
         // The bytes stand for the content: the fake network has no codec.
         let raw = self.stash(content);
-        let pass = Pass { header, raw, via, mode: Mode::Route, hops: 0 };
+        let pass = Pass { header, raw, via, seen: self.now, mode: Mode::Route, hops: 0 };
         let message = Message::Pass(pass);
         let (from, to, run) = (name.clone(), target.agent.clone(), Incarnation(0));
         let envelope = Envelope { from, run, to, version, message };
--- a/testutils/src/world/node.rs
+++ b/testutils/src/world/node.rs
@@ -48,6 +48,18 @@
         })
     }
 
+    #[cfg(feature = "variants")]
+    pub fn without(
+        mut self,
+        safeguard: Option<lagoonhollow_lib::process::safeguard::Safeguard>,
+        now: Moment,
+    ) -> Self {
+        if let Some(safeguard) = safeguard {
+            self.agent.without(safeguard, now);
+        }
+        self
+    }
+
     pub fn version(&self) -> u64 {
         self.agent.context().manifest.version()
     }
