--- a/daemon/examples/demo/callers.rs
+++ b/daemon/examples/demo/callers.rs
@@ -38,6 +38,17 @@
     end: AtomicBool,
 }
 
+impl Shared {
+    fn count_download(&self, right: Option<bool>) {
+        let mut totals = self.totals.lock().unwrap();
+        match right {
+            Some(true) => totals.downloads += 1,
+            Some(false) => totals.wrong_answers += 1,
+            None => totals.incomplete += 1,
+        }
+    }
+}
+
 /// All callers, in a thread of their own.
 pub struct Load {
     shared: Arc<Shared>,
@@ -157,11 +168,11 @@
 
 async fn hand_in(shared: &Shared, caller: &mut Caller, body: String) {
     let answer = caller.post("report", &body).await;
-    let mut totals = shared.totals.lock().unwrap();
     let Some(answer) = answer else {
-        totals.unanswered += 1;
+        shared.totals.lock().unwrap().unanswered += 1;
         return;
     };
+    let mut totals = shared.totals.lock().unwrap();
     match answer.code {
         Code::Changed if *answer.body == *format!("done:{body}").as_bytes() => totals.reports += 1,
         Code::Changed => totals.wrong_answers += 1,
@@ -178,13 +189,7 @@
     while !shared.stop.load(Ordering::Relaxed) {
         let Ok(mut caller) = Caller::connect(hosts::next(), address).await else { return };
         let file = caller.download("image").await;
-        let mut totals = shared.totals.lock().unwrap();
-        match file {
-            Some(file) if file == whole => totals.downloads += 1,
-            Some(_) => totals.wrong_answers += 1,
-            None => totals.incomplete += 1,
-        }
-        drop(totals);
+        shared.count_download(file.map(|f| f == whole));
         tokio::time::sleep(PAUSE * (5 + i as u32)).await;
     }
 }
--- a/daemon/src/connection/agent.rs
+++ b/daemon/src/connection/agent.rs
@@ -267,7 +267,7 @@
         }
         let Some(agent) = self.agent.as_mut() else { return };
         self.options.metrics.add(&mut agent.take_tally());
-        self.options.metrics.show(&agent.gauges());
+        self.options.metrics.show(&agent.gauges(now));
         let manifest = agent.context().manifest.clone();
         for peer in self.gossip.due(&manifest, &mut self.rng, now) {
             let message = self.gossip.message();
@@ -291,7 +291,7 @@
         if now.since(stop.since) >= self.options.drain {
             return true;
         }
-        let open = self.agent.as_mut().map_or(0, |a| a.gauges().requests);
+        let open = self.agent.as_mut().map_or(0, |a| a.gauges(now).requests);
         // Handed over channels are given time to arrive and be claimed.
         stop.handed && open == 0 && now.since(stop.since) >= SETTLE * 2
     }
--- a/daemon/src/connection/entry.rs
+++ b/daemon/src/connection/entry.rs
@@ -18,7 +18,9 @@
 use lagoonhollow_lib::process::message::Pass;
 use lagoonhollow_lib::process::message::Via;
 use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::process::notice::Notice;
 use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::process::wakeup::Wakeup;
 use lagoonhollow_lib::version::manifest::InForce;
 use lagoonhollow_lib::version::manifest::Manifest;
 use rand_pcg::Pcg64Mcg;
@@ -70,6 +72,7 @@
     rng: RefCell<Pcg64Mcg>,
     listeners: RefCell<HashMap<SocketAddr, Listener>>,
     manifest: RefCell<Option<Arc<Manifest<InForce>>>>,
+    wakeup: RefCell<Wakeup>,
 }
 
 #[derive(Debug)]
@@ -97,6 +100,7 @@
         door: RefCell::new(None),
         listeners: RefCell::new(HashMap::new()),
         manifest: RefCell::new(None),
+        wakeup: RefCell::new(Wakeup::open(now)),
     });
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -179,14 +183,32 @@
 
     async fn take(self: Rc<Self>, address: SocketAddr, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut woken = self.running();
         loop {
             // An error here is that of an earlier packet to a caller that left.
-            if let Ok((length, caller)) = socket.recv_from(&mut buffer).await {
-                self.packet(Header::udp(caller, address), &buffer[..length]);
+            let Ok((length, caller)) = socket.recv_from(&mut buffer).await else { continue };
+            let now_woken = self.running();
+            if woken != now_woken {
+                woken = now_woken;
+                self.discard(&socket, &mut buffer);
+                continue;
             }
+            self.packet(Header::udp(caller, address), &buffer[..length]);
+        }
+    }
+
+    /// Drops what waited while this process was paused: callers send it again.
+    fn discard(&self, socket: &UdpSocket, buffer: &mut [u8]) {
+        self.options.metrics.count(Reason::Stale);
+        while socket.try_recv_from(buffer).is_ok() {
+            self.options.metrics.count(Reason::Stale);
         }
     }
 
+    fn running(&self) -> u64 {
+        self.wakeup.borrow_mut().running(self.options.clock.now())
+    }
+
     fn packet(&self, header: Header, raw: &[u8]) {
         self.options.metrics.received.inc();
         let mut door = self.door.borrow_mut();
@@ -240,7 +262,7 @@
         }
     }
 
-    fn notice(&self, notice: &lagoonhollow_lib::process::notice::Notice) {
+    fn notice(&self, notice: &Notice) {
         let news = self.gossip.borrow_mut().spread(notice);
         if let Some(door) = self.door.borrow_mut().as_mut().filter(|_| news) {
             door.notice(notice.clone());
@@ -260,6 +282,7 @@
     }
 
     fn tick(&self) {
+        self.running();
         let now = self.options.clock.now();
         if let Some(door) = self.door.borrow_mut().as_mut() {
             self.options.metrics.add(door.tally());
--- a/daemon/src/process/metrics.rs
+++ b/daemon/src/process/metrics.rs
@@ -86,7 +86,7 @@
             requests: gauge("requests", "Requests not answered yet"),
             exchanges: gauge("exchanges", "Requests kept for retransmissions"),
             grants: gauge("grants", "Grants remembered as a witness"),
-            recovering: gauge("recovering", "Whether earlier grants may be forgotten"),
+            recovering: gauge("recovering", "Whether new requests are abstained on"),
             settled: gauge("settled", "Whether every peer has told its flows"),
             registry,
         }
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -84,7 +84,7 @@
     pub exchanges: usize,
     /// Grants remembered as a witness.
     pub grants: usize,
-    /// Whether grants of an earlier run may be forgotten.
+    /// Whether requests that begin now are abstained on.
     pub recovering: bool,
     /// Whether every peer has said which flows it owns.
     pub settled: bool,
@@ -133,7 +133,7 @@
     }
 
     /// Returns the numbers that operators are shown.
-    pub fn gauges(&mut self) -> Gauges {
+    pub fn gauges(&mut self, now: Moment) -> Gauges {
         let (flows, redirects, lookups) = self.router.flows().counts();
         Gauges {
             flows,
@@ -143,7 +143,7 @@
             requests: self.requests.open_count(),
             exchanges: self.requests.len(),
             grants: self.votes.len(),
-            recovering: self.votes.is_recovering(),
+            recovering: self.votes.abstains(&self.context, now),
             settled: self.router.is_settled(),
         }
     }
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -18,3 +18,4 @@
 pub mod rumors;
 pub mod safeguard;
 pub mod tally;
+pub mod wakeup;
--- a/lib/src/request/votes.rs
+++ b/lib/src/request/votes.rs
@@ -43,6 +43,14 @@
         matches!(self.stage, Stage::Abstaining(_))
     }
 
+    /// Returns whether the witness would abstain on a request that begins now.
+    pub fn abstains(&self, context: &Context, now: Moment) -> bool {
+        match &self.stage {
+            Stage::Abstaining(witness) => !witness.is_open(context.freshness(), now),
+            Stage::Granting(_) => false,
+        }
+    }
+
     /// Votes on a request, or returns the memberships that the ballot lacks.
     ///
     /// # Errors
--- a/lib/src/request/witness.rs
+++ b/lib/src/request/witness.rs
@@ -65,13 +65,18 @@
         freshness: Freshness,
         now: Moment,
     ) -> Vote {
-        if freshness.began_after(self.state.start, seen) {
+        if self.is_open(freshness, seen) {
             self.memory.vote(key, holder, now)
         } else {
             Vote::Abstained
         }
     }
 
+    /// Returns whether a transmission taken at `seen` can be voted on.
+    pub fn is_open(&self, freshness: Freshness, seen: Moment) -> bool {
+        freshness.began_after(self.state.start, seen)
+    }
+
     /// Takes in a grant that a peer knows of.
     ///
     /// What a holder says of its own majority goes before what others granted.
