Catch a flow that two services own while an address moves

Ruled out: a fault in the code; the tests opened no flows inside the window. Change: a test that opens 120 flows in 1 s of uneven versions, 40 seeds. Conclusion: the check covers the window now.

--- a/lib/tests/isolation.rs
+++ b/lib/tests/isolation.rs
@@ -105,3 +105,31 @@
         }
     }
 }
+
+#[test]
+fn a_flow_opened_while_the_address_moves_reaches_one_service_only() {
+    for seed in 0..40 {
+        let (mut world, _) = open(seed);
+        let address = world.docs()[0].address;
+        swap_addresses(&mut world, SECOND);
+        let mut keys = Vec::new();
+        for round in 0..30 {
+            let flows: Vec<_> =
+                (0..4).map(|i| world.flow(Protocol::Udp, 900 + round * 4 + i, address)).collect();
+            for _ in 0..3 {
+                keys.extend(flows.iter().map(|f| world.get(*f, "level")));
+                world.run(Duration::from_millis(12));
+            }
+        }
+        world.run(SECOND * 6);
+        let mut served = std::collections::BTreeMap::new();
+        for key in keys {
+            let runs = world.calls.all[&key].runs.iter().map(served_by);
+            served.entry(key.flow).or_insert_with(Vec::new).extend(runs);
+        }
+        for (flow, mut by) in served {
+            by.dedup();
+            assert!(by.len() <= 1, "seed {seed}: {flow:?} was served by services {by:?}");
+        }
+    }
+}
