--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -184,8 +184,10 @@
         self.running.values().filter(|r| r.long).count()
     }
 
-    /// Returns the slots that long work may hold: never all, if there are two.
+    /// Returns the slots that long work may hold: half of them, or only one
+    /// while short work queues.
     fn long_slots(&self) -> usize {
-        (self.slots / 2).max(1)
+        let half = (self.slots / 2).max(1);
+        if self.short.len() > self.slots { 1 } else { half }
     }
 }
