Measure what running at most once costs in availability

Cause: the price of the majorities was stated nowhere. Ruled out: nothing; it is a measurement, with a bound of its own: one of three or more witnesses down or recovering costs nothing once it is noticed. Change: the policy bench prints the shares of reports done, refused, unknown and unanswered for 2, 3, 4 and 7 members in six kinds of trouble.

--- a/lib/benches/policy.rs
+++ b/lib/benches/policy.rs
@@ -4,6 +4,8 @@
 //! every run. Exits with 1 if a bound is broken. `--json FILE` writes the
 //! tables as JSON as well.
 
+#[path = "policy/availability.rs"]
+mod availability;
 #[path = "policy/baseline.rs"]
 mod baseline;
 #[path = "policy/measures.rs"]
@@ -15,6 +17,7 @@
 
 use std::process::ExitCode;
 
+use availability::Trouble;
 use baseline::Placement;
 use lagoonhollow_lib::process::safeguard::Safeguard;
 use measures::Measures;
@@ -38,6 +41,9 @@
         let rows: Vec<_> = table.iter().map(|(name, m)| m.json(name)).collect();
         tables.push(serde_json::json!({ "deployment": deployment.name, "rows": rows }));
     }
+    let (rows, missed) = measure_availability();
+    tables.push(serde_json::json!({ "availability": rows }));
+    broken.extend(missed);
     if let Some(path) = json_path() {
         let text = serde_json::to_string_pretty(&tables).unwrap_or_default();
         if let Err(error) = std::fs::write(&path, text) {
@@ -78,6 +84,43 @@
     policies.into_iter().map(row).collect()
 }
 
+/// Prints what reports cost while a witness can't vote, and checks that one of
+/// three or more costs nothing once it is noticed.
+fn measure_availability() -> (Vec<serde_json::Value>, Vec<String>) {
+    println!("reports while something is wrong, from 4 s after it began");
+    println!(
+        "  {:>7} {:<12} {:>8} {:>8} {:>8} {:>10}",
+        "members", "trouble", "done", "not run", "unknown", "unanswered"
+    );
+    let (mut rows, mut missed) = (Vec::new(), Vec::new());
+    for members in [2, 3, 4, 7] {
+        for trouble in Trouble::ALL {
+            let s = availability::measure(members, trouble);
+            println!(
+                "  {members:>7} {:<12} {:>8.3} {:>8.3} {:>8.3} {:>10.3}",
+                format!("{trouble:?}"),
+                s.done,
+                s.not_run,
+                s.unknown,
+                s.unanswered
+            );
+            rows.push(serde_json::json!({
+                "members": members,
+                "trouble": format!("{trouble:?}"),
+                "done": s.done,
+                "not_run": s.not_run,
+                "unknown": s.unknown,
+                "unanswered": s.unanswered,
+            }));
+            let one = matches!(trouble, Trouble::None | Trouble::Down | Trouble::Recovering);
+            if one && members > 2 && s.done < 1.0 - TIE {
+                missed.push(format!("{members} members, {trouble:?}: reports done: 1.0"));
+            }
+        }
+    }
+    (rows, missed)
+}
+
 fn print(deployment: &Deployment, table: &[(&str, Measures)]) {
     let ceiling = Workload::crest(deployment, 0).ceiling();
     println!("{}: crest ceiling for short work {ceiling:.3}", deployment.name);
