Give operators a tool that checks, shows and explains

Cause: operators had no way to check settings and manifests before use, or to ask a process what it does. Ruled out: commands that change a process: the manifest is the only drive.

--- /dev/null
+++ b/cli/src/report.rs
@@ -0,0 +1,60 @@
+//! What a command found, and how it is shown.
+
+use std::process::ExitCode;
+
+use lagoonhollow_lib::version::findings::Findings;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+/// Exit code where what was asked for failed, or a process does not answer.
+const FAILED: u8 = 1;
+/// Exit code for findings and wrong arguments.
+const FOUND: u8 = 2;
+
+/// The result of a command.
+#[derive(Debug)]
+pub struct Outcome {
+    code: u8,
+    text: String,
+    json: Value,
+}
+
+impl Outcome {
+    /// Returns a success with its text and value.
+    pub fn done(text: impl Into<String>, value: &impl Serialize) -> Self {
+        let json = serde_json::to_value(value).unwrap_or_default();
+        Self { code: 0, text: text.into(), json }
+    }
+
+    /// Returns findings.
+    pub fn found(findings: &Findings) -> Self {
+        let json = json!({ "findings": findings });
+        Self { code: FOUND, text: findings.to_string(), json }
+    }
+
+    /// Returns a failure.
+    pub fn failed(problem: impl Into<String>) -> Self {
+        Self::problem(FAILED, problem.into())
+    }
+
+    /// Returns a complaint about the arguments.
+    pub fn usage(problem: impl Into<String>) -> Self {
+        Self::problem(FOUND, problem.into())
+    }
+
+    /// Shows the result and returns the exit code.
+    pub fn show(&self, json: bool) -> ExitCode {
+        match (json, self.code) {
+            (true, _) => println!("{}", self.json),
+            (false, 0) => println!("{}", self.text),
+            (false, _) => eprintln!("{}", self.text),
+        }
+        ExitCode::from(self.code)
+    }
+
+    fn problem(code: u8, text: String) -> Self {
+        let json = json!({ "problem": text });
+        Self { code, text, json }
+    }
+}
