--- a/daemon/src/process/admin.rs
+++ b/daemon/src/process/admin.rs
@@ -8,7 +8,7 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
-use lagoonhollow_lib::process::agent::Explained;
+use lagoonhollow_lib::process::explained::Explained;
 use ntex::web;
 use ntex::web::HttpResponse;
 use ntex::web::types::Query;
--- a/daemon/src/process/bridge.rs
+++ b/daemon/src/process/bridge.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
-use lagoonhollow_lib::process::agent::Explained;
+use lagoonhollow_lib::process::explained::Explained;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::version::manifest::InForce;
--- a/daemon/src/process/metrics.rs
+++ b/daemon/src/process/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
-use lagoonhollow_lib::process::agent::Gauges;
+use lagoonhollow_lib::process::gauges::Gauges;
 use lagoonhollow_lib::process::reason::Reason;
 use lagoonhollow_lib::process::tally::Tally;
 use prometheus_client::encoding::text::encode;
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -68,6 +68,10 @@
         serde_json::from_str(&get(self.host.admin(), &path)?).ok()
     }
 
+    pub fn metrics(&self) -> Option<String> {
+        get(self.host.admin(), "/metrics")
+    }
+
     pub fn held(&self, name: &str) -> Option<u64> {
         self.status()?.held.get(name).copied()
     }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod arrival;
 pub mod channel;
 pub mod channels;
+pub mod claims;
 pub mod credit;
 pub mod door;
 pub mod flow;
--- a/lib/src/connection/router.rs
+++ b/lib/src/connection/router.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use super::arrival::Arrival;
+use super::claims::Claim;
+use super::claims::Claims;
 use super::flow::FlowKey;
 use super::flow::Header;
 use super::flows::Change;
@@ -22,8 +24,8 @@
 
 /// Processes that a packet passes at most: entry, home, former owner, owner.
 pub const MAX_HOPS: u8 = 4;
-/// Time after which an unanswered claim is repeated.
-const CLAIM_AGAIN: Duration = Duration::from_millis(500);
+/// Time between two searches for flows that nothing has used.
+const EXPIRE: Duration = Duration::from_secs(1);
 /// Time after which redirects elsewhere are confirmed.
 const CONFIRM: Duration = Duration::from_secs(60);
 
@@ -42,16 +44,22 @@
     flows: Flows<Arrival<C>>,
     // Peers that have not said under this version which flows they own.
     unsettled: BTreeSet<Name>,
-    // Claims that a home has not acknowledged, with when each was last sent.
-    unclaimed: BTreeMap<(Name, FlowKey), Moment>,
+    claims: Claims,
     confirmed: Moment,
+    expired: Moment,
 }
 
 impl<C> Router<C> {
     /// Opens a router that has to settle with every peer.
     pub fn open(context: &Context, now: Moment) -> Self {
         let unsettled = context.peers.names().cloned().collect();
-        Self { flows: Flows::open(), unsettled, unclaimed: BTreeMap::new(), confirmed: now }
+        Self {
+            flows: Flows::open(),
+            unsettled,
+            claims: Claims::open(),
+            confirmed: now,
+            expired: now,
+        }
     }
 
     /// Starts to settle under a version that was just put in force.
@@ -289,7 +297,7 @@
         let stamp = self.flows.stamp(flow)?;
         let stamp = Stamp { moves: stamp.moves + 1, owner: to.clone(), born: stamp.born };
         self.flows.redirect(*flow, stamp.clone(), now);
-        self.unclaimed.retain(|(_, f), _| f != flow);
+        self.claims.drop_flow(flow);
         Some(stamp)
     }
 
@@ -347,12 +355,24 @@
         &mut self,
         context: &mut Context,
         peer: &Name,
-        flows: Vec<(FlowKey, Stamp)>,
+        flows: Vec<Claim>,
         now: Moment,
-    ) -> Vec<(FlowKey, Stamp)> {
-        let mut refused = Vec::new();
-        let mut yielded = Vec::new();
+    ) -> Vec<Claim> {
         let keys = flows.iter().map(|(flow, _)| *flow).collect();
+        let (yielded, refused) = self.compare(context, flows, now);
+        context.send(peer, Message::Claimed { flows: keys, refused });
+        yielded
+    }
+
+    /// Compares claims with what is known here; returns the flows given up and
+    /// those whose known owner prevails.
+    fn compare(
+        &mut self,
+        context: &mut Context,
+        flows: Vec<Claim>,
+        now: Moment,
+    ) -> (Vec<Claim>, Vec<Claim>) {
+        let (mut yielded, mut refused) = (Vec::new(), Vec::new());
         for (flow, stamp) in flows {
             match self.flows.claim(flow, &stamp, now) {
                 Change::Kept => {}
@@ -363,8 +383,7 @@
                 Change::Refused(prevailing) => refused.push((flow, prevailing)),
             }
         }
-        context.send(peer, Message::Claimed { flows: keys, refused });
-        yielded
+        (yielded, refused)
     }
 
     /// Takes in a home's answer to claims; returns the flows that this agent
@@ -374,33 +393,33 @@
         context: &mut Context,
         peer: &Name,
         flows: &[FlowKey],
-        refused: Vec<(FlowKey, Stamp)>,
+        refused: Vec<Claim>,
         now: Moment,
-    ) -> Vec<(FlowKey, Stamp)> {
-        for flow in flows {
-            self.unclaimed.remove(&(peer.clone(), *flow));
-        }
-        let mut yielded = Vec::new();
-        for (flow, stamp) in refused {
-            if self.flows.claim(flow, &stamp, now) == Change::Yielded {
-                context.count(Reason::OwnerYielded);
-                yielded.push((flow, stamp));
-            }
-        }
-        yielded
+    ) -> Vec<Claim> {
+        self.claims.acknowledged(peer, flows);
+        self.compare(context, refused, now).0
     }
 
     /// Answers a peer that settles: the flows of its share that are owned here.
-    pub fn share_of(&self, context: &Context, peer: &Name) -> Vec<(FlowKey, Stamp)> {
+    pub fn share_of(&self, context: &Context, peer: &Name) -> Vec<Claim> {
         self.flows.claims(|flow| context.homes(flow).contains(peer))
     }
 
-    /// Takes in a peer's answer while settling.
-    pub fn settle(&mut self, peer: &Name, flows: &[(FlowKey, Stamp)], now: Moment) -> bool {
-        for (flow, stamp) in flows {
-            self.flows.claim(*flow, stamp, now);
+    /// Takes in a peer's answer while settling; returns the flows that this
+    /// agent owned and gave up, with the owner that prevails.
+    pub fn settle(
+        &mut self,
+        context: &mut Context,
+        peer: &Name,
+        flows: Vec<Claim>,
+        now: Moment,
+    ) -> Vec<Claim> {
+        self.unsettled.remove(peer);
+        let (yielded, refused) = self.compare(context, flows, now);
+        if !refused.is_empty() {
+            context.send(peer, Message::Claimed { flows: Vec::new(), refused });
         }
-        self.unsettled.remove(peer)
+        yielded
     }
 
     /// Returns the peers that have not said which flows they own.
@@ -416,7 +435,8 @@
     /// Takes in that a peer runs anew: the flows it owned are gone.
     pub fn restarted(&mut self, context: &mut Context, peer: &Name, now: Moment) {
         self.flows.forget_owner(peer);
-        self.claim_all_to(context, peer, now);
+        let share = self.share_of(context, peer);
+        self.claims.send(context, peer, share, now);
     }
 
     /// Takes in that a peer is presumed dead.
@@ -430,7 +450,7 @@
     pub fn removed(&mut self, peer: &Name) {
         self.flows.forget_owner(peer);
         self.unsettled.remove(peer);
-        self.unclaimed.retain(|(home, _), _| home != peer);
+        self.claims.drop_home(peer);
     }
 
     /// Repeats what was not answered and ends what was not used.
@@ -441,8 +461,11 @@
         for (_, lookup) in self.flows.expire_lookups(now) {
             lookup.held.iter().for_each(|_| context.count(Reason::HeldTimeout));
         }
-        for flow in self.flows.expire(now) {
-            self.release(context, &flow);
+        if now.since(self.expired) >= EXPIRE {
+            self.expired = now;
+            for flow in self.flows.expire(now) {
+                self.release(context, &flow);
+            }
         }
         if now.since(self.confirmed) >= CONFIRM {
             self.confirmed = now;
@@ -452,25 +475,17 @@
     }
 
     fn repeat_claims(&mut self, context: &mut Context, now: Moment) {
-        let late = |t: &Moment| now.since(*t) >= CLAIM_AGAIN;
-        let due: Vec<_> =
-            self.unclaimed.iter().filter(|(_, t)| late(t)).map(|(k, _)| k.clone()).collect();
-        let mut by_home: BTreeMap<Name, Vec<(FlowKey, Stamp)>> = BTreeMap::new();
-        for (home, flow) in due {
-            let known = context.backend(&home).is_some();
-            match self.flows.stamp(&flow).filter(|s| known && s.owner == context.me) {
-                Some(stamp) => {
-                    by_home.entry(home.clone()).or_default().push((flow, stamp.clone()));
-                    self.unclaimed.insert((home, flow), now);
-                    context.count(Reason::RetryClaim);
-                }
-                None => {
-                    self.unclaimed.remove(&(home, flow));
-                }
+        for (home, flows) in self.claims.due(now) {
+            if context.backend(&home).is_none() {
+                continue;
             }
-        }
-        for (home, flows) in by_home {
-            context.send(&home, Message::Claims { flows });
+            let mine = |flow: FlowKey| {
+                let stamp = self.flows.stamp(&flow).filter(|s| s.owner == context.me);
+                stamp.map(|s| (flow, s.clone()))
+            };
+            let flows: Vec<_> = flows.into_iter().filter_map(mine).collect();
+            flows.iter().for_each(|_| context.count(Reason::RetryClaim));
+            self.claims.send(context, &home, flows, now);
         }
     }
 
@@ -480,31 +495,22 @@
         self.claim(context, &flows, now);
     }
 
-    fn claim_all_to(&mut self, context: &mut Context, peer: &Name, now: Moment) {
-        let share = self.share_of(context, peer);
-        if !share.is_empty() {
-            self.unclaimed.extend(share.iter().map(|(f, _)| ((peer.clone(), *f), now)));
-            context.send(peer, Message::Claims { flows: share });
-        }
-    }
-
     /// Tells the homes of `flows` that they are owned here.
     fn claim(&mut self, context: &mut Context, flows: &[FlowKey], now: Moment) {
-        let mut by_home: BTreeMap<Name, Vec<(FlowKey, Stamp)>> = BTreeMap::new();
+        let mut by_home: BTreeMap<Name, Vec<Claim>> = BTreeMap::new();
         for flow in flows {
             let Some(stamp) = self.flows.stamp(flow).cloned() else { continue };
             for home in context.homes(flow) {
-                self.unclaimed.insert((home.clone(), *flow), now);
                 by_home.entry(home).or_default().push((*flow, stamp.clone()));
             }
         }
         for (home, flows) in by_home {
-            context.send(&home, Message::Claims { flows });
+            self.claims.send(context, &home, flows, now);
         }
     }
 
     fn release(&mut self, context: &mut Context, flow: &FlowKey) {
-        self.unclaimed.retain(|(_, f), _| f != flow);
+        self.claims.drop_flow(flow);
         for home in context.homes(flow) {
             context.send(&home, Message::Gone { flow: *flow });
         }
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -4,7 +4,10 @@
 
 use super::action::Action;
 use super::context::Context;
+use super::explained::Explained;
+use super::gauges::Gauges;
 use super::health::Health;
+use super::heartbeat::Heartbeat;
 use super::incarnation::Incarnation;
 use super::message::Envelope;
 use super::message::Message;
@@ -13,8 +16,6 @@
 use super::moment::Moment;
 use super::name::Name;
 use super::notice::Notice;
-use super::peers::HEARTBEAT;
-use super::peers::Peers;
 use super::peers::Sign;
 use super::reason::Reason;
 use super::recovery::Recovery;
@@ -26,6 +27,7 @@
 use crate::connection::channels::Channels;
 use crate::connection::flow::FlowKey;
 use crate::connection::handover::Handover;
+use crate::connection::router::MAX_HOPS;
 use crate::connection::router::Outcome;
 use crate::connection::router::Router;
 use crate::connection::stamp::Stamp;
@@ -53,43 +55,11 @@
     channels: Channels,
     handover: Handover,
     recovery: Recovery,
-    beaten: Option<Moment>,
+    heartbeat: Heartbeat,
     // Notices of this agent count up, so that the latest is known everywhere.
     noticed: u64,
 }
 
-/// What operators are shown of one flow.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Explained {
-    /// The flow's home under the version in force.
-    pub home: Option<Name>,
-    /// The owner as this agent knows it.
-    pub owner: Option<Stamp>,
-}
-
-/// Numbers that operators are shown.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Gauges {
-    /// Flows owned.
-    pub flows: usize,
-    /// Redirects to other owners.
-    pub redirects: usize,
-    /// Lookups under way.
-    pub lookups: usize,
-    /// Channels served.
-    pub channels: usize,
-    /// Requests not answered yet.
-    pub requests: usize,
-    /// Requests kept for retransmissions.
-    pub exchanges: usize,
-    /// Grants remembered as a witness.
-    pub grants: usize,
-    /// Whether requests that begin now are abstained on.
-    pub recovering: bool,
-    /// Whether every peer has said which flows it owns.
-    pub settled: bool,
-}
-
 impl Agent {
     /// Opens the agent beside backend server `me` of `service`.
     pub fn open(
@@ -110,7 +80,7 @@
             channels: Channels::open(),
             handover: Handover::open(),
             recovery: Recovery::open(now),
-            beaten: None,
+            heartbeat: Heartbeat::open(),
             noticed: run.0,
         }
     }
@@ -167,7 +137,7 @@
             self.votes.joint_changed(&self.context);
             self.router.enforce(&mut self.context, now);
             self.recovery = Recovery::open(now);
-            self.beaten = None;
+            self.heartbeat.hurry();
         }
         self.tick(now)
     }
@@ -177,7 +147,7 @@
         let health = self.context.health;
         self.context.health = Health { leaving, cold, ..health };
         if health.leaving != leaving {
-            self.beaten = None;
+            self.heartbeat.hurry();
         }
     }
 
@@ -195,6 +165,10 @@
         content: Content,
         now: Moment,
     ) -> Vec<Action> {
+        if pass.hops > MAX_HOPS {
+            self.context.count(Reason::Looping);
+            return Vec::new();
+        }
         self.context.met(&pass.via);
         let may_open = content.may_open() && pass.header.may_open();
         let lent = pass.mode == Mode::Lend;
@@ -254,8 +228,8 @@
                 self.deliver(outcome, now);
             }
         }
-        self.ask_peers(now);
-        self.beat(now);
+        self.recovery.ask(&mut self.context, &self.router, &self.votes, now);
+        self.heartbeat.beat(&mut self.context, now);
         self.router.sweep(&mut self.context, now);
         self.requests.sweep(&mut self.context, &mut self.votes, now);
         for flow in self.channels.sweep(&mut self.context, now) {
@@ -318,10 +292,11 @@
                 self.learn_memberships(&memberships, now);
                 let context = &mut self.context;
                 self.router.unsettle(context.learn_left(&former, now));
+                self.votes.learn(context, &from, &grants, recovering, now);
                 if version == context.manifest.version() {
-                    self.router.settle(&from, &flows, now);
+                    let yielded = self.router.settle(context, &from, flows, now);
+                    self.yield_channels(yielded, now);
                 }
-                self.votes.learn(context, &from, &grants, recovering, now);
             }
             Message::Claims { flows } => {
                 let yielded = self.router.claimed_by(context, &from, flows, now);
@@ -496,35 +471,6 @@
         context.send(peer, synced);
     }
 
-    fn ask_peers(&mut self, now: Moment) {
-        let mut owing = self.votes.untold(&self.context);
-        owing.extend(self.router.unsettled().iter().cloned());
-        let retry = self.recovery.is_retry();
-        let version = self.context.manifest.version();
-        let recovering = self.votes.is_recovering();
-        for peer in self.recovery.due(owing, now) {
-            if retry {
-                self.context.count(Reason::RetrySync);
-            }
-            self.context.send(&peer, Message::Sync { version, recovering });
-        }
-    }
-
-    fn beat(&mut self, now: Moment) {
-        if self.beaten.is_some_and(|t| now.since(t) < HEARTBEAT) {
-            return;
-        }
-        self.beaten = Some(now);
-        let mut names = self.context.joint.members();
-        names.extend(self.context.peers.names().cloned());
-        names.insert(self.context.me.clone());
-        let revision = self.context.joint.current().revision;
-        let health = self.context.told_health();
-        for peer in Peers::targets(&names, &self.context.me) {
-            self.context.send(&peer, Message::Heartbeat { revision, health });
-        }
-    }
-
     fn spread(&mut self, agent: &Name, down: bool, now: Moment) {
         self.noticed = self.noticed.max(now.0) + 1;
         let notice = Notice { agent: agent.clone(), down, stamp: self.noticed };
--- /dev/null
+++ b/lib/src/process/explained.rs
@@ -0,0 +1,13 @@
+//! What operators are shown of one flow.
+
+use super::name::Name;
+use crate::connection::stamp::Stamp;
+
+/// What operators are shown of one flow.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Explained {
+    /// The flow's home under the version in force.
+    pub home: Option<Name>,
+    /// The owner as this agent knows it.
+    pub owner: Option<Stamp>,
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,8 +3,11 @@
 pub mod action;
 pub mod agent;
 pub mod context;
+pub mod explained;
+pub mod gauges;
 pub mod gossip;
 pub mod health;
+pub mod heartbeat;
 pub mod incarnation;
 pub mod life;
 pub mod live;
--- a/lib/src/process/recovery.rs
+++ b/lib/src/process/recovery.rs
@@ -1,10 +1,13 @@
 //! Repetition of the questions that a started or changed agent asks its peers.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::context::Context;
+use super::message::Message;
 use super::moment::Moment;
-use super::name::Name;
+use super::reason::Reason;
+use crate::connection::router::Router;
+use crate::request::votes::Votes;
 
 /// Time after which a silent peer is asked again at first.
 const FIRST_AGAIN: Duration = Duration::from_millis(300);
@@ -24,18 +27,29 @@
         Self { due: now, again: FIRST_AGAIN }
     }
 
-    /// Returns the peers of `owing` to ask now.
-    pub fn due(&mut self, owing: BTreeSet<Name>, now: Moment) -> BTreeSet<Name> {
+    /// Asks the peers that have not told their flows or grants, if that is due.
+    pub fn ask<C>(
+        &mut self,
+        context: &mut Context,
+        router: &Router<C>,
+        votes: &Votes,
+        now: Moment,
+    ) {
+        let mut owing = votes.untold(context);
+        owing.extend(router.unsettled().iter().cloned());
         if now < self.due || owing.is_empty() {
-            return BTreeSet::new();
+            return;
         }
+        let retry = self.again > FIRST_AGAIN;
         self.due = now + self.again;
         self.again = (self.again * 2).min(LAST_AGAIN);
-        owing
-    }
-
-    /// Returns whether rounds were sent already.
-    pub fn is_retry(&self) -> bool {
-        self.again > FIRST_AGAIN
+        let version = context.manifest.version();
+        let recovering = votes.is_recovering();
+        for peer in &owing {
+            if retry {
+                context.count(Reason::RetrySync);
+            }
+            context.send(peer, Message::Sync { version, recovering });
+        }
     }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod cost;
 pub mod exchange;
+pub mod exchanges;
 pub mod freshness;
 pub mod grant;
 pub mod key;
--- a/lib/src/request/requests.rs
+++ b/lib/src/request/requests.rs
@@ -1,8 +1,5 @@
 //! The requests that one agent works on, and the answers it keeps.
 
-use std::collections::BTreeSet;
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::admission::Admission;
@@ -14,11 +11,11 @@
 use super::budget::Budget;
 use super::exchange::Exchange;
 use super::exchange::Stage;
+use super::exchanges::Exchanges;
 use super::grant::Grant;
 use super::key::RequestKey;
 use super::message::Request;
 use super::run::Asking;
-use super::run::Held;
 use super::run::Run;
 use super::run::Started;
 use super::votes::Votes;
@@ -34,8 +31,6 @@
 use crate::process::reason::Reason;
 use crate::process::safeguard::Safeguard;
 
-/// Requests kept at most; further ones are dropped, none is forgotten early.
-pub const MAX_EXCHANGES: usize = 65_536;
 /// Time after which a silent witness is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 /// Time beyond its deadline that a backend server is given for an answer.
@@ -48,11 +43,7 @@
 /// Request decisions of one agent.
 #[derive(Debug)]
 pub struct Requests {
-    exchanges: HashMap<RequestKey, Exchange>,
-    order: VecDeque<(Moment, RequestKey)>,
-    active: BTreeSet<RequestKey>,
-    numbers: HashMap<u64, RequestKey>,
-    next: u64,
+    exchanges: Exchanges,
     admission: Admission,
     budget: Budget,
     // Until when the backend server counts as refusing work.
@@ -61,15 +52,9 @@
 
 impl Requests {
     /// Opens without requests, before a backend server with `slots` slots.
-    ///
-    /// Numbers start from the incarnation, so no run uses one of an earlier run.
     pub fn open(run: Incarnation, slots: u32) -> Self {
         Self {
-            exchanges: HashMap::new(),
-            order: VecDeque::new(),
-            active: BTreeSet::new(),
-            numbers: HashMap::new(),
-            next: run.0 << 8,
+            exchanges: Exchanges::open(run),
             admission: Admission::open(slots),
             budget: Budget::open(),
             shedding: Moment(0),
@@ -83,7 +68,7 @@
 
     /// Returns the number of requests that are not answered yet.
     pub fn open_count(&self) -> usize {
-        self.active.len()
+        self.exchanges.active().len()
     }
 
     /// Returns the number of requests kept.
@@ -98,8 +83,7 @@
 
     /// Draws a number that was never used.
     pub fn number(&mut self) -> u64 {
-        self.next += 1;
-        self.next
+        self.exchanges.number()
     }
 
     /// Takes in a transmission of a request.
@@ -120,7 +104,7 @@
             exchange.repeat(context, key, pass);
             return;
         }
-        if self.exchanges.len() >= MAX_EXCHANGES {
+        if self.exchanges.is_full() {
             context.count(Reason::RequestsFull);
             return;
         }
@@ -134,7 +118,7 @@
         }
         let deadline = now + self.deadline(context, &request.path);
         if request.method.is_idempotent() {
-            self.insert(
+            self.exchanges.insert(
                 key,
                 Stage::Queued(Run::idempotent(request, pass.seen, deadline)),
                 pass,
@@ -145,7 +129,7 @@
         }
         let ballot = Ballot::open(key, context);
         let run = Run::open(request, pass.seen, deadline, ballot, now);
-        self.insert(key, Stage::Asking(run), pass, now);
+        self.exchanges.insert(key, Stage::Asking(run), pass, now);
         self.ask(context, votes, key, now);
     }
 
@@ -176,21 +160,15 @@
 
     /// Follows a change of the open memberships.
     pub fn joint_changed(&mut self, context: &mut Context) {
-        for key in &self.active {
-            if let Some(Stage::Asking(asking)) = self.exchanges.get_mut(key).map(|e| &mut e.stage) {
-                asking.state.ballot.extend(context);
-                asking.state.asked = Moment(0);
-            }
-        }
+        self.exchanges.each_asking(|run| {
+            run.state.ballot.extend(context);
+            run.state.asked = Moment(0);
+        });
     }
 
     /// Drops votes that a restarted witness has forgotten.
     pub fn restarted(&mut self, witness: &Name, run: Incarnation) {
-        for key in &self.active {
-            if let Some(Stage::Asking(asking)) = self.exchanges.get_mut(key).map(|e| &mut e.stage) {
-                asking.state.ballot.drop_vote(witness, run);
-            }
-        }
+        self.exchanges.each_asking(|asking| asking.state.ballot.drop_vote(witness, run));
     }
 
     /// Takes in the backend server's answer to the request with number `id`.
@@ -203,10 +181,10 @@
         answer: Answer,
         now: Moment,
     ) -> bool {
-        let Some(key) = self.numbers.remove(&id) else {
+        let Some(key) = self.exchanges.take_number(id) else {
             return false;
         };
-        let Some(run) = self.take_running(&key) else {
+        let Some(run) = self.exchanges.running(&key) else {
             return false;
         };
         let shed = matches!(answer.code, Code::NotRun(_));
@@ -237,7 +215,7 @@
 
     /// Repeats, gives up and forgets what is due.
     pub fn sweep(&mut self, context: &mut Context, votes: &mut Votes, now: Moment) {
-        for key in self.active.clone() {
+        for key in self.exchanges.active().clone() {
             let Some(exchange) = self.exchanges.get_mut(&key) else { continue };
             match &exchange.stage {
                 Stage::Asking(run) if now >= run.deadline => {
@@ -254,7 +232,7 @@
             }
         }
         self.pump(context, now);
-        self.forget(context, now);
+        self.exchanges.forget(context.freshness().memory(), now);
     }
 
     /// Starts queued work while slots are free.
@@ -293,8 +271,7 @@
         let hops = pass.hops + 1;
         let lent = Pass { mode: Mode::Lend, hops, ..pass.clone() };
         context.send(&peer, Message::Pass(lent));
-        self.active.remove(&key);
-        self.insert(key, Stage::Lent(peer), pass, now);
+        self.exchanges.insert(key, Stage::Lent(peer), pass, now);
     }
 
     fn deadline(&self, context: &Context, path: &Name) -> Duration {
@@ -302,17 +279,6 @@
         service.map_or(crate::version::doc::DEFAULT_DEADLINE, |s| s.doc.deadline(path.as_str()))
     }
 
-    fn insert(&mut self, key: RequestKey, stage: Stage, pass: Pass, now: Moment) {
-        if !matches!(stage, Stage::Lent(_) | Stage::Done(_)) {
-            self.active.insert(key);
-        }
-        let lent = pass.mode == Mode::Lend;
-        let exchange = Exchange { stage, pass, since: now, lent };
-        if self.exchanges.insert(key, exchange).is_none() {
-            self.order.push_back((now, key));
-        }
-    }
-
     /// Asks the witnesses that have not voted, this agent's own vote among them.
     fn ask(&mut self, context: &mut Context, votes: &mut Votes, key: RequestKey, now: Moment) {
         let Some(Stage::Asking(asking)) = self.exchanges.get_mut(&key).map(|e| &mut e.stage) else {
@@ -341,15 +307,15 @@
     }
 
     fn count_votes(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
-        let Some(asking) = self.take_asking(&key) else { return };
+        let Some(asking) = self.exchanges.asking(&key) else { return };
         match asking.hold() {
             Ok(run) => {
-                self.put(key, Stage::Queued(run));
+                self.exchanges.put(key, Stage::Queued(run));
                 self.admit(context, key, now);
             }
             Err(run) => match run.state.ballot.lost_to() {
                 Some(holder) => self.yield_to(context, key, *run, holder.agent, now),
-                None => self.put(key, Stage::Asking(*run)),
+                None => self.exchanges.put(key, Stage::Asking(*run)),
             },
         }
     }
@@ -389,19 +355,19 @@
     }
 
     fn start(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
-        let Some(run) = self.take_queued(&key) else {
+        let Some(run) = self.exchanges.queued(&key) else {
             self.admission.done(&key, false, now);
             return;
         };
         let id = self.number();
         let (request, deadline) = (run.request.clone(), run.deadline);
-        self.numbers.insert(id, key);
-        self.put(key, Stage::Running(run.start(id, now)));
+        self.exchanges.set_number(id, key);
+        self.exchanges.put(key, Stage::Running(run.start(id, now)));
         context.act(Action::Run { id, request, deadline });
     }
 
     fn refuse(&mut self, context: &mut Context, key: RequestKey, reason: Reason, now: Moment) {
-        let Some(run) = self.take_queued(&key) else { return };
+        let Some(run) = self.exchanges.queued(&key) else { return };
         context.count(reason);
         if run.request.method.is_idempotent() && self.retry(context, key, now) {
             return;
@@ -439,9 +405,9 @@
     }
 
     fn lose(&mut self, context: &mut Context, key: RequestKey, now: Moment) {
-        let Some(run) = self.take_running(&key) else { return };
+        let Some(run) = self.exchanges.running(&key) else { return };
         let id = run.state.id;
-        self.numbers.remove(&id);
+        self.exchanges.take_number(id);
         // A lost answer says that the path takes at least this long.
         self.admission.done(&key, true, now);
         context.count(Reason::AnswerLost);
@@ -450,7 +416,7 @@
     }
 
     fn give_up(&mut self, context: &mut Context, key: RequestKey, reason: Reason) {
-        let Some(run) = self.take_asking(&key) else { return };
+        let Some(run) = self.exchanges.asking(&key) else { return };
         context.count(reason);
         let mut answer = run.give_up(reason);
         if !context.keeps(Safeguard::MajorityBeforeRefusal) {
@@ -460,50 +426,10 @@
     }
 
     fn finish(&mut self, context: &mut Context, key: RequestKey, answer: Answer) {
-        self.active.remove(&key);
-        if let Some(exchange) = self.exchanges.get_mut(&key) {
-            let (via, flow) = (exchange.pass.via.clone(), key.flow);
-            let action = Action::Answer { via, flow, id: key.id, answer: answer.clone() };
-            context.act(action);
-            exchange.stage = Stage::Done(answer);
-        }
-    }
-
-    fn forget(&mut self, context: &Context, now: Moment) {
-        let memory = context.freshness().memory();
-        while let Some((at, key)) = self.order.front().copied() {
-            if now.since(at) <= memory || self.active.contains(&key) {
-                break;
-            }
-            self.exchanges.remove(&key);
-            self.order.pop_front();
-        }
-    }
-
-    fn put(&mut self, key: RequestKey, stage: Stage) {
-        if let Some(exchange) = self.exchanges.get_mut(&key) {
-            exchange.stage = stage;
-        }
-    }
-
-    fn take_asking(&mut self, key: &RequestKey) -> Option<Run<Asking>> {
-        match &self.exchanges.get(key)?.stage {
-            Stage::Asking(run) => Some(run.clone()),
-            _ => None,
-        }
-    }
-
-    fn take_queued(&mut self, key: &RequestKey) -> Option<Run<Held>> {
-        match &self.exchanges.get(key)?.stage {
-            Stage::Queued(run) => Some(run.clone()),
-            _ => None,
-        }
-    }
-
-    fn take_running(&mut self, key: &RequestKey) -> Option<Run<Started>> {
-        match &self.exchanges.get(key)?.stage {
-            Stage::Running(run) => Some(run.clone()),
-            _ => None,
+        if let Some(via) = self.exchanges.get(&key).map(|e| e.pass.via.clone()) {
+            let (flow, id) = (key.flow, key.id);
+            context.act(Action::Answer { via, flow, id, answer: answer.clone() });
+            self.exchanges.put(key, Stage::Done(answer));
         }
     }
 }
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -48,6 +48,15 @@
         Ok(Self { socket, next, notes, seen, strays: 0 })
     }
 
+    /// Returns the caller's address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Hands in a report; none if no answer came.
     pub async fn post(&mut self, path: &str, body: &str) -> Option<Answer> {
         let mut request = self.request(Method::Post, path);
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -16,7 +16,7 @@
 /// Port of a backend server beside its agent.
 const BACKEND: u16 = 7003;
 /// Fleet key of tests.
-const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+pub const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
 /// A host of a fleet.
 #[derive(Clone, Debug)]
