--- /dev/null
+++ b/daemon/examples/idle.rs
@@ -0,0 +1,77 @@
+//! What agents cost while nothing happens: `idle COUNT [SECONDS]` starts one
+//! service with COUNT agents in one process and prints processor time, memory
+//! and control bytes for each.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lagoonhollow_daemon::process::daemon::Daemon;
+use lagoonhollow_daemon::process::log;
+use lagoonhollow_daemon::process::settings::Level;
+use lagoonhollow_daemon::process::settings::Settings;
+use lagoonhollow_testutils::fleet::Service;
+use lagoonhollow_testutils::hosts;
+use lagoonhollow_testutils::platform::Platform;
+
+/// Ticks of the processor clock in a second.
+const TICKS: f64 = 100.0;
+/// Size of a page.
+const PAGE: u64 = 4_096;
+
+fn main() -> ExitCode {
+    let number = |at: usize| std::env::args().nth(at).and_then(|a| a.parse::<u64>().ok());
+    match run(number(1).unwrap_or(4) as usize, number(2).unwrap_or(15)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("idle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(count: usize, seconds: u64) -> Result<(), Box<dyn Error>> {
+    log::open(Level::Error)?;
+    let platform = Platform::spawn(SocketAddr::new(hosts::next(), 8080))?;
+    let service = Service::open("idle", count, 4, Duration::from_secs(2));
+    platform.publish(vec![service.doc.clone()]);
+    let before = memory();
+    let mut daemons = Vec::new();
+    for host in &service.hosts {
+        let text = host.agent_settings(&platform.url(), &[]);
+        daemons.push(Daemon::spawn(Settings::parse(&host.name, &text)?)?);
+    }
+    std::thread::sleep(Duration::from_secs(8));
+    let sent = |daemons: &[Daemon]| daemons.iter().map(Daemon::control_bytes).sum::<u64>();
+    let (start, bytes) = (processor()?, sent(&daemons));
+    std::thread::sleep(Duration::from_secs(seconds));
+    let used = processor()? - start;
+    let bytes = sent(&daemons) - bytes;
+    let each = (count as u64 * seconds) as f64;
+    println!(
+        "agents={count} core_percent_each={:.3} memory_kb_each={} control_bytes_per_second_each={:.0} platform_calls={}",
+        100.0 * used / each,
+        (memory() - before) / 1_024 / count as u64,
+        bytes as f64 / each,
+        platform.calls()
+    );
+    daemons.iter_mut().for_each(Daemon::drain);
+    daemons.into_iter().for_each(Daemon::join);
+    platform.stop();
+    Ok(())
+}
+
+/// Returns the processor time of this process in seconds.
+fn processor() -> Result<f64, Box<dyn Error>> {
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<_> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks: u64 = fields[11].parse::<u64>()? + fields[12].parse::<u64>()?;
+    Ok(ticks as f64 / TICKS)
+}
+
+fn memory() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or_default() * PAGE
+}
--- a/daemon/src/connection/endpoint.rs
+++ b/daemon/src/connection/endpoint.rs
@@ -1,6 +1,9 @@
 //! Control connections between processes, over QUIC.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -12,6 +15,7 @@
 use lagoonhollow_wire::control::encode;
 use lagoonhollow_wire::seal::FleetKey;
 use quinn::Connection;
+use quinn::ConnectionError;
 use quinn::Endpoint;
 use quinn::Incoming;
 
@@ -21,6 +25,9 @@
 /// Time that one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Connections kept at most; quiet ones are closed by their idle timeout.
+const MAX_KEPT: usize = 64;
+
 /// Why a call failed.
 #[derive(Debug, Display, Error)]
 pub enum EndpointError {
@@ -30,12 +37,17 @@
     /// The peer does not answer, or not as a member of the fleet.
     #[display("peer can't be reached: {_0}")]
     Peer(#[error(not(source))] String),
+    /// The peer does not show the fleet's identity.
+    #[display("peer is not of the fleet: {_0}")]
+    Stranger(#[error(not(source))] String),
 }
 
 /// The control endpoint of a process.
 #[derive(Clone, Debug)]
 pub struct Control {
     endpoint: Endpoint,
+    // A handshake costs far more than a call, so connections are kept.
+    open: Rc<RefCell<HashMap<SocketAddr, Connection>>>,
 }
 
 impl Control {
@@ -49,7 +61,7 @@
         let server = identity.server().map_err(open_error)?;
         let mut endpoint = Endpoint::server(server, address).map_err(open_error)?;
         endpoint.set_default_client_config(identity.client().map_err(open_error)?);
-        Ok(Self { endpoint })
+        Ok(Self { endpoint, open: Rc::default() })
     }
 
     /// Waits for the next connection; none once the endpoint is closed.
@@ -73,15 +85,28 @@
     }
 
     async fn exchange(&self, peer: SocketAddr, call: &Call) -> Result<Return, EndpointError> {
-        let connecting = self.endpoint.connect(peer, SERVER_NAME).map_err(peer_error)?;
-        let connection = connecting.await.map_err(peer_error)?;
+        let connection = self.connect(peer).await?;
         let (mut send, mut receive) = connection.open_bi().await.map_err(peer_error)?;
         send.write_all(&encode(call).map_err(peer_error)?).await.map_err(peer_error)?;
         send.finish().map_err(peer_error)?;
         let bytes = receive.read_to_end(MAX_CALL).await.map_err(peer_error)?;
-        connection.close(0u32.into(), b"done");
         decode(&bytes).map_err(peer_error)
     }
+
+    async fn connect(&self, peer: SocketAddr) -> Result<Connection, EndpointError> {
+        let kept = self.open.borrow().get(&peer).cloned();
+        if let Some(connection) = kept.filter(|c| c.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let connecting = self.endpoint.connect(peer, SERVER_NAME).map_err(peer_error)?;
+        let connection = connecting.await.map_err(peer_error)?;
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, c| c.close_reason().is_none());
+        if open.len() < MAX_KEPT {
+            open.insert(peer, connection.clone());
+        }
+        Ok(connection)
+    }
 }
 
 /// Serves the calls of one connection until it is closed.
@@ -93,7 +118,10 @@
     incoming: Incoming,
     answer: impl AsyncFn(Call) -> Return,
 ) -> Result<(), EndpointError> {
-    let connection = incoming.await.map_err(peer_error)?;
+    let connection = incoming.await.map_err(|e| match e {
+        ConnectionError::TransportError(_) => EndpointError::Stranger(e.to_string()),
+        _ => peer_error(e),
+    })?;
     while let Some((mut send, mut receive)) = next(&connection).await {
         let bytes = receive.read_to_end(MAX_CALL).await.map_err(peer_error)?;
         let call = decode(&bytes).map_err(peer_error)?;
--- a/daemon/src/connection/entry.rs
+++ b/daemon/src/connection/entry.rs
@@ -38,6 +38,8 @@
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
 
+/// Longest packet of a caller in bytes; a buffer of it is held per service.
+const MAX_PACKET: usize = 2_048;
 /// Time between two rounds of what is due by time.
 const TICK: Duration = Duration::from_millis(50);
 /// Time for answers on their way after the service sockets are closed.
@@ -182,7 +184,7 @@
     }
 
     async fn take(self: Rc<Self>, address: SocketAddr, socket: Rc<UdpSocket>) {
-        let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut buffer = vec![0; MAX_PACKET];
         let mut woken = self.running();
         loop {
             // An error here is that of an earlier packet to a caller that left.
@@ -193,6 +195,11 @@
                 self.discard(&socket, &mut buffer);
                 continue;
             }
+            if length == MAX_PACKET {
+                // It may have been cut off.
+                self.options.metrics.count(Reason::Malformed);
+                continue;
+            }
             self.packet(Header::udp(caller, address), &buffer[..length]);
         }
     }
--- a/daemon/src/process/control.rs
+++ b/daemon/src/process/control.rs
@@ -22,6 +22,7 @@
 use super::settings::Role;
 use crate::connection::endpoint;
 use crate::connection::endpoint::Control;
+use crate::connection::endpoint::EndpointError;
 use crate::connection::link::unseal;
 use crate::request::health;
 use crate::request::health::HealthState;
@@ -29,7 +30,7 @@
 use crate::version::watch;
 
 /// Time between two reads of the live list.
-const LIVE: Duration = Duration::from_secs(10);
+const LIVE: Duration = Duration::from_secs(30);
 /// Time between two questions for the backend server's health.
 const HEALTH: Duration = Duration::from_millis(500);
 /// Questions without answer after which the backend server takes no new work.
@@ -95,9 +96,16 @@
         let traffic = traffic.clone();
         spawn(async move {
             let answer = async |call| answer(&shared, &traffic, call);
-            if let Err(error) = endpoint::serve(incoming, answer).await {
-                shared.metrics.count(Reason::Forged);
-                spdlog::warn!("connection_refused", kv: { error: });
+            match endpoint::serve(incoming, answer).await {
+                Ok(()) => {}
+                Err(EndpointError::Stranger(error)) => {
+                    shared.metrics.count(Reason::Forged);
+                    spdlog::warn!("connection_refused", kv: { error });
+                }
+                Err(error) => {
+                    shared.metrics.count(Reason::PeerUnreachable);
+                    spdlog::debug!("connection_failed", kv: { error: });
+                }
             }
         });
     }
--- a/daemon/src/process/daemon.rs
+++ b/daemon/src/process/daemon.rs
@@ -101,6 +101,11 @@
         self.shared.status()
     }
 
+    /// Returns the bytes sent to other processes for control.
+    pub fn control_bytes(&self) -> u64 {
+        self.shared.metrics.control_bytes.get()
+    }
+
     /// Begins a planned stop.
     pub fn drain(&mut self) {
         if let Some(stop) = self.stop.take() {
--- a/daemon/src/version/platform.rs
+++ b/daemon/src/version/platform.rs
@@ -19,7 +19,7 @@
 use crate::process::metrics::Metrics;
 
 /// Time that one watch waits for a change.
-pub const WATCH: Duration = Duration::from_secs(30);
+pub const WATCH: Duration = Duration::from_secs(60);
 /// Time that the service is given beyond a watch.
 const SLACK: Duration = Duration::from_secs(3);
 /// Longest value: a megabyte, with room for its encoding.
@@ -34,6 +34,9 @@
     /// It answers with an error.
     #[display("platform answers {_0}")]
     Refused(#[error(not(source))] u16),
+    /// It answers with a version that is not later than the one asked for.
+    #[display("platform is stale at version {_0}")]
+    Stale(#[error(not(source))] u64),
     /// The value can't be read.
     #[display("{key}: {problem}")]
     Unreadable {
--- a/daemon/src/version/watch.rs
+++ b/daemon/src/version/watch.rs
@@ -19,8 +19,9 @@
 use crate::process::metrics::Metrics;
 
 /// Longest wait before the changed documents are read, so that all watchers
-/// together stay below the platform's rate.
-const JITTER: Duration = Duration::from_millis(2_000);
+/// together stay below the platform's rate. Most have the version from a peer
+/// by then.
+const JITTER: Duration = Duration::from_secs(6);
 /// First pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after failed reads.
@@ -39,6 +40,7 @@
             Err(error) => {
                 metrics.count(match error {
                     PlatformError::Unreadable { .. } => Reason::BadManifest,
+                    PlatformError::Stale(_) => Reason::StaleManifest,
                     _ => Reason::PlatformDown,
                 });
                 spdlog::warn!("platform_unreadable", kv: { error: });
@@ -57,8 +59,7 @@
 ) -> Result<Option<u64>, PlatformError> {
     let Some(index) = platform.watch(after).await? else { return Ok(None) };
     if index.version <= after {
-        // A stale replica: wait as if it had not answered.
-        return Err(PlatformError::Refused(409));
+        return Err(PlatformError::Stale(index.version));
     }
     if after > 0 {
         sleep(JITTER.mul_f64(rand::rng().random_range(0.0..1.0))).await;
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -162,6 +162,10 @@
     }
 }
 
+pub fn new_entry() -> Host {
+    Host::open("entry-new")
+}
+
 pub fn spawn_backend(host: &Host) -> Backend {
     let options = BackendOptions {
         service: "alarm".to_owned(),
--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -201,6 +201,25 @@
     assert_eq!(answer.code, Code::Changed);
 }
 
+#[test]
+fn a_stale_platform_takes_no_version_back() {
+    let mut fleet = Fleet::spawn(1, 2);
+    let mut docs = fleet.platform.docs();
+    docs[0].backends[0].weight = 50;
+    fleet.platform.publish(docs);
+    fleet.wait_until(|f| f.all(|p| p.status().is_some_and(|s| s.version == 2)));
+    fleet.platform.set_stale_at_first();
+    // A process that starts now is told the old version by the platform and
+    // the latest one by its peers.
+    fleet.spawn_entry(common::new_entry());
+    let up = |p: &common::Process| p.status().is_some_and(|s| s.version == 2);
+    fleet.wait_until(|f| f.all(up));
+    let stale =
+        |p: &common::Process| p.status().is_some_and(|s| s.reasons.contains_key("stale_manifest"));
+    fleet.wait_until(|f| f.entries.iter().any(stale));
+    assert!(fleet.all(up), "no process went back");
+}
+
 #[test]
 fn a_bad_manifest_changes_nothing_and_is_counted() {
     let fleet = Fleet::spawn(1, 2);
--- a/lib/benches/speed.rs
+++ b/lib/benches/speed.rs
@@ -44,6 +44,16 @@
     group.finish();
 }
 
+fn enforced(c: &mut Criterion) {
+    let mut group = c.benchmark_group("version put in force");
+    for services in [17, 170, 1_700] {
+        let mut step = Step::enforce(services);
+        let id = BenchmarkId::new("services", services);
+        group.bench_function(id, |b| b.iter(|| step.run()));
+    }
+    group.finish();
+}
+
 fn ticked(c: &mut Criterion) {
     let mut group = c.benchmark_group("tick of an agent");
     for flows in [350, 3_500, 35_000] {
@@ -53,5 +63,5 @@
     group.finish();
 }
 
-criterion_group!(benches, routed, opened, granted, ticked);
+criterion_group!(benches, routed, opened, granted, enforced, ticked);
 criterion_main!(benches);
--- a/lib/benches/speed/steps.rs
+++ b/lib/benches/speed/steps.rs
@@ -97,6 +97,18 @@
         Self::open(repeat)
     }
 
+    /// A process checks a version and puts it in force.
+    pub fn enforce(services: u16) -> Self {
+        let mut pipeline = Pipeline::open();
+        pipeline.publish((0..services).map(|i| docs::numbered(i, 4)).collect());
+        let first = pipeline.in_force(None).expect("the documents are right");
+        pipeline.publish((0..services).map(|i| docs::numbered(i, 4)).collect());
+        let repeat = move |_| {
+            let _ = std::hint::black_box(pipeline.in_force(Some(&first)));
+        };
+        Self::open(repeat)
+    }
+
     /// An agent with `flows` flows does what is due by time.
     pub fn tick(flows: u32) -> Self {
         let mut agent = settled(4);
--- a/lib/examples/steps.rs
+++ b/lib/examples/steps.rs
@@ -1,5 +1,6 @@
 //! Repeats one decision, to be run under a tool that counts instructions:
-//! `steps WHAT SIZE COUNT` with WHAT one of route, services, open, grant, tick.
+//! `steps WHAT SIZE COUNT` with WHAT one of route, services, open, grant,
+//! enforce, tick.
 
 #[path = "../benches/speed/steps.rs"]
 mod steps;
@@ -11,7 +12,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
     let [what, size, count] = arguments.as_slice() else {
-        eprintln!("usage: steps route|services|open|grant|tick SIZE COUNT");
+        eprintln!("usage: steps route|services|open|grant|enforce|tick SIZE COUNT");
         return ExitCode::from(2);
     };
     let (Ok(size), Ok(count)) = (size.parse::<u16>(), count.parse::<u32>()) else {
@@ -23,6 +24,7 @@
         "services" => Step::route(size, 4),
         "open" => Step::open_flow(size),
         "grant" => Step::grant(size),
+        "enforce" => Step::enforce(size),
         "tick" => Step::tick(size.into()),
         _ => {
             eprintln!("steps: {what:?} is not a decision");
--- a/lib/src/connection/channels.rs
+++ b/lib/src/connection/channels.rs
@@ -26,6 +26,8 @@
     via: Via,
     // Message ID of the request that opened it, until its answer is sent.
     opening: Option<u16>,
+    // The answer to that request, for its retransmissions.
+    opened: Option<(u16, Answer)>,
 }
 
 /// Channels by the number under which the backend server knows them.
@@ -69,10 +71,7 @@
         now: Moment,
     ) -> bool {
         if let Some(known) = self.find(&flow, &request.token) {
-            if let Some(served) = self.served.get_mut(&known) {
-                served.via = via;
-                context.count(Reason::Duplicate);
-            }
+            self.repeat(context, known, request.id, via);
             return false;
         }
         let token = request.token.clone();
@@ -80,12 +79,31 @@
         let registration = Registration { flow, token, path, sequence: 0 };
         let opening = Some(request.id);
         let channel = Channel::open(registration);
-        self.insert(id, Served { channel, via, opening });
+        self.insert(id, Served { channel, via, opening, opened: None });
         let deadline = now + crate::version::doc::DEFAULT_DEADLINE;
         context.act(Action::Run { id, request, deadline });
         true
     }
 
+    /// Answers a retransmission of the request that opened a channel.
+    fn repeat(&mut self, context: &mut Context, known: u64, id: u16, via: Via) {
+        let Some(served) = self.served.get_mut(&known) else { return };
+        served.via = via.clone();
+        match served.opened.as_ref().filter(|(first, _)| *first == id) {
+            Some((_, answer)) => {
+                context.count(Reason::Replayed);
+                let (flow, answer) = (served.channel.registration.flow, answer.clone());
+                context.act(Action::Answer { via, flow, id, answer });
+            }
+            None => context.count(Reason::Duplicate),
+        }
+    }
+
+    /// Returns whether a flow has a channel with this token.
+    pub fn has(&self, flow: &FlowKey, token: &Token) -> bool {
+        self.find(flow, token).is_some()
+    }
+
     /// Serves a channel that another agent served before.
     pub fn adopt(
         &mut self,
@@ -101,7 +119,7 @@
         }
         let request = registration.request();
         let channel = Channel::adopt(registration, waiting);
-        self.insert(id, Served { channel, via, opening: None });
+        self.insert(id, Served { channel, via, opening: None, opened: None });
         let deadline = now + crate::version::doc::DEFAULT_DEADLINE;
         context.act(Action::Run { id, request, deadline });
         self.send(context, id, now);
@@ -124,6 +142,7 @@
         if let Some(request) = served.opening.take() {
             answer.observe = Some(served.channel.registration.sequence);
             let (via, flow) = (served.via.clone(), served.channel.registration.flow);
+            served.opened = Some((request, answer.clone()));
             context.act(Action::Answer { via, flow, id: request, answer });
             return true;
         }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -13,4 +13,6 @@
 pub mod owed;
 pub mod redirect;
 pub mod router;
+pub mod settling;
 pub mod stamp;
+pub mod standing;
--- a/lib/src/connection/router.rs
+++ b/lib/src/connection/router.rs
@@ -1,18 +1,15 @@
 //! An agent's way of finding the owner of each packet's flow.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::arrival::Arrival;
-use super::claims::Claim;
-use super::claims::Claims;
 use super::flow::FlowKey;
 use super::flow::Header;
-use super::flows::Change;
 use super::flows::Flows;
 use super::flows::Known;
 use super::lookup::Lookup;
+use super::settling::Settling;
 use super::stamp::Stamp;
 use crate::process::context::Context;
 use crate::process::message::Message;
@@ -26,8 +23,6 @@
 pub const MAX_HOPS: u8 = 4;
 /// Time between two searches for flows that nothing has used.
 const EXPIRE: Duration = Duration::from_secs(1);
-/// Time after which redirects elsewhere are confirmed.
-const CONFIRM: Duration = Duration::from_secs(60);
 
 /// What the caller of the router has to do with a packet.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,40 +37,29 @@
 #[derive(Debug)]
 pub struct Router<C> {
     flows: Flows<Arrival<C>>,
-    // Peers that have not said under this version which flows they own.
-    unsettled: BTreeSet<Name>,
-    claims: Claims,
-    confirmed: Moment,
+    settling: Settling,
     expired: Moment,
 }
 
 impl<C> Router<C> {
     /// Opens a router that has to settle with every peer.
     pub fn open(context: &Context, now: Moment) -> Self {
-        let unsettled = context.peers.names().cloned().collect();
-        Self {
-            flows: Flows::open(),
-            unsettled,
-            claims: Claims::open(),
-            confirmed: now,
-            expired: now,
-        }
+        Self { flows: Flows::open(), settling: Settling::open(context, now), expired: now }
     }
 
-    /// Starts to settle under a version that was just put in force.
-    pub fn enforce(&mut self, context: &mut Context, now: Moment) {
-        self.unsettled = context.peers.names().cloned().collect();
-        self.claim_all(context, now);
+    /// Returns the flow table.
+    pub fn flows(&mut self) -> &mut Flows<Arrival<C>> {
+        &mut self.flows
     }
 
-    /// Returns whether every peer has said which flows it owns.
-    pub fn is_settled(&self) -> bool {
-        self.unsettled.is_empty()
+    /// Returns what is agreed on with peers.
+    pub fn settling(&self) -> &Settling {
+        &self.settling
     }
 
-    /// Returns the flow table.
-    pub fn flows(&mut self) -> &mut Flows<Arrival<C>> {
-        &mut self.flows
+    /// Returns what is agreed on with peers, with the flows that it is about.
+    pub fn settle(&mut self) -> (&mut Settling, &mut Flows<Arrival<C>>) {
+        (&mut self.settling, &mut self.flows)
     }
 
     /// Finds the owner of a packet's flow; a packet that is not for this agent
@@ -146,7 +130,7 @@
             return None;
         }
         if home == context.me {
-            let waiting = self.unsettled.clone();
+            let waiting = self.settling.unsettled().clone();
             return self.search(context, arrival, waiting, now);
         }
         match self.substitute(context, &flow) {
@@ -252,7 +236,7 @@
             context.count(reason);
             return None;
         }
-        self.claim(context, &[flow], now);
+        self.settling.claim(context, &self.flows, &[flow], now);
         Some(Outcome::Deliver(arrival))
     }
 
@@ -269,7 +253,7 @@
         now: Moment,
     ) -> Result<(), Reason> {
         self.flows.own(flow, stamp, now)?;
-        self.claim(context, &[flow], now);
+        self.settling.claim(context, &self.flows, &[flow], now);
         Ok(())
     }
 
@@ -288,7 +272,7 @@
     /// Ends a flow that its protocol closed.
     pub fn close(&mut self, context: &mut Context, header: &Header) {
         if header.closes && self.flows.end(&header.flow) {
-            self.release(context, &header.flow);
+            self.settling.release(context, &header.flow);
         }
     }
 
@@ -297,7 +281,7 @@
         let stamp = self.flows.stamp(flow)?;
         let stamp = Stamp { moves: stamp.moves + 1, owner: to.clone(), born: stamp.born };
         self.flows.redirect(*flow, stamp.clone(), now);
-        self.claims.drop_flow(flow);
+        self.settling.drop_flow(flow);
         Some(stamp)
     }
 
@@ -349,96 +333,6 @@
         self.flows.forget(flow, peer);
     }
 
-    /// Takes in a peer's claims; returns the flows that this agent owned and
-    /// gave up, with the owner that prevails.
-    pub fn claimed_by(
-        &mut self,
-        context: &mut Context,
-        peer: &Name,
-        flows: Vec<Claim>,
-        now: Moment,
-    ) -> Vec<Claim> {
-        let keys = flows.iter().map(|(flow, _)| *flow).collect();
-        let (yielded, refused) = self.compare(context, flows, now);
-        context.send(peer, Message::Claimed { flows: keys, refused });
-        yielded
-    }
-
-    /// Compares claims with what is known here; returns the flows given up and
-    /// those whose known owner prevails.
-    fn compare(
-        &mut self,
-        context: &mut Context,
-        flows: Vec<Claim>,
-        now: Moment,
-    ) -> (Vec<Claim>, Vec<Claim>) {
-        let (mut yielded, mut refused) = (Vec::new(), Vec::new());
-        for (flow, stamp) in flows {
-            match self.flows.claim(flow, &stamp, now) {
-                Change::Kept => {}
-                Change::Yielded => {
-                    context.count(Reason::OwnerYielded);
-                    yielded.push((flow, stamp));
-                }
-                Change::Refused(prevailing) => refused.push((flow, prevailing)),
-            }
-        }
-        (yielded, refused)
-    }
-
-    /// Takes in a home's answer to claims; returns the flows that this agent
-    /// has to give up, with the owner that prevails.
-    pub fn acknowledged(
-        &mut self,
-        context: &mut Context,
-        peer: &Name,
-        flows: &[FlowKey],
-        refused: Vec<Claim>,
-        now: Moment,
-    ) -> Vec<Claim> {
-        self.claims.acknowledged(peer, flows);
-        self.compare(context, refused, now).0
-    }
-
-    /// Answers a peer that settles: the flows of its share that are owned here.
-    pub fn share_of(&self, context: &Context, peer: &Name) -> Vec<Claim> {
-        self.flows.claims(|flow| context.homes(flow).contains(peer))
-    }
-
-    /// Takes in a peer's answer while settling; returns the flows that this
-    /// agent owned and gave up, with the owner that prevails.
-    pub fn settle(
-        &mut self,
-        context: &mut Context,
-        peer: &Name,
-        flows: Vec<Claim>,
-        now: Moment,
-    ) -> Vec<Claim> {
-        self.unsettled.remove(peer);
-        let (yielded, refused) = self.compare(context, flows, now);
-        if !refused.is_empty() {
-            context.send(peer, Message::Claimed { flows: Vec::new(), refused });
-        }
-        yielded
-    }
-
-    /// Returns the peers that have not said which flows they own.
-    pub fn unsettled(&self) -> &BTreeSet<Name> {
-        &self.unsettled
-    }
-
-    /// Takes in peers that were not known before.
-    pub fn unsettle(&mut self, peers: Vec<Name>) {
-        self.unsettled.extend(peers);
-    }
-
-    /// Takes in that a peer runs anew: the flows it owned are gone.
-    pub fn restarted(&mut self, context: &mut Context, peer: &Name, now: Moment) {
-        self.flows.forget_owner(peer);
-        let share = self.share_of(context, peer);
-        self.claims.send(context, peer, share, now);
-    }
-
     /// Takes in that a peer is presumed dead.
     pub fn died(&mut self, context: &mut Context, peer: &Name, now: Moment) -> Vec<Outcome<C>> {
         let over = self.flows.give_up(peer);
@@ -446,13 +340,6 @@
         over.into_iter().flat_map(finish).collect()
     }
 
-    /// Takes in that a peer's VM was dropped from the live list.
-    pub fn removed(&mut self, peer: &Name) {
-        self.flows.forget_owner(peer);
-        self.unsettled.remove(peer);
-        self.claims.drop_home(peer);
-    }
-
     /// Repeats what was not answered and ends what was not used.
     pub fn sweep(&mut self, context: &mut Context, now: Moment) {
         for (peer, flow) in self.flows.ask_again(now) {
@@ -464,56 +351,10 @@
         if now.since(self.expired) >= EXPIRE {
             self.expired = now;
             for flow in self.flows.expire(now) {
-                self.release(context, &flow);
+                self.settling.release(context, &flow);
             }
         }
-        if now.since(self.confirmed) >= CONFIRM {
-            self.confirmed = now;
-            self.claim_all(context, now);
-        }
-        self.repeat_claims(context, now);
-    }
-
-    fn repeat_claims(&mut self, context: &mut Context, now: Moment) {
-        for (home, flows) in self.claims.due(now) {
-            if context.backend(&home).is_none() {
-                continue;
-            }
-            let mine = |flow: FlowKey| {
-                let stamp = self.flows.stamp(&flow).filter(|s| s.owner == context.me);
-                stamp.map(|s| (flow, s.clone()))
-            };
-            let flows: Vec<_> = flows.into_iter().filter_map(mine).collect();
-            flows.iter().for_each(|_| context.count(Reason::RetryClaim));
-            self.claims.send(context, &home, flows, now);
-        }
-    }
-
-    fn claim_all(&mut self, context: &mut Context, now: Moment) {
-        let away = |flow: &FlowKey| !context.homes(flow).is_empty();
-        let flows: Vec<_> = self.flows.claims(away).into_iter().map(|(f, _)| f).collect();
-        self.claim(context, &flows, now);
-    }
-
-    /// Tells the homes of `flows` that they are owned here.
-    fn claim(&mut self, context: &mut Context, flows: &[FlowKey], now: Moment) {
-        let mut by_home: BTreeMap<Name, Vec<Claim>> = BTreeMap::new();
-        for flow in flows {
-            let Some(stamp) = self.flows.stamp(flow).cloned() else { continue };
-            for home in context.homes(flow) {
-                by_home.entry(home).or_default().push((*flow, stamp.clone()));
-            }
-        }
-        for (home, flows) in by_home {
-            self.claims.send(context, &home, flows, now);
-        }
-    }
-
-    fn release(&mut self, context: &mut Context, flow: &FlowKey) {
-        self.claims.drop_flow(flow);
-        for home in context.homes(flow) {
-            context.send(&home, Message::Gone { flow: *flow });
-        }
+        self.settling.sweep(context, &self.flows, now);
     }
 
     fn forward(&mut self, context: &mut Context, arrival: Arrival<C>, to: &Name, mode: Mode) {
--- /dev/null
+++ b/lib/src/connection/settling.rs
@@ -0,0 +1,209 @@
+//! What an agent agrees on with its peers: which of them owns which flow.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::claims::Claim;
+use super::claims::Claims;
+use super::flow::FlowKey;
+use super::flows::Change;
+use super::flows::Flows;
+use crate::process::context::Context;
+use crate::process::message::Message;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Time after which redirects elsewhere are confirmed.
+const CONFIRM: Duration = Duration::from_secs(60);
+
+/// Peers that owe an answer to this agent, and claims that they have not
+/// answered.
+#[derive(Debug)]
+pub struct Settling {
+    // Peers that have not said under this version which flows they own.
+    unsettled: BTreeSet<Name>,
+    claims: Claims,
+    confirmed: Moment,
+}
+
+impl Settling {
+    /// Opens with every peer owing an answer.
+    pub fn open(context: &Context, now: Moment) -> Self {
+        let unsettled = context.peers.names().cloned().collect();
+        Self { unsettled, claims: Claims::open(), confirmed: now }
+    }
+
+    /// Starts anew under a version that was just put in force.
+    pub fn enforce<P>(&mut self, context: &mut Context, flows: &Flows<P>, now: Moment) {
+        self.unsettled = context.peers.names().cloned().collect();
+        self.claim_all(context, flows, now);
+    }
+
+    /// Returns the peers that have not said which flows they own.
+    pub fn unsettled(&self) -> &BTreeSet<Name> {
+        &self.unsettled
+    }
+
+    /// Takes in peers that were not known before.
+    pub fn unsettle(&mut self, peers: Vec<Name>) {
+        self.unsettled.extend(peers);
+    }
+
+    /// Takes in a peer's claims; returns the flows that this agent owned and
+    /// gave up, with the owner that prevails.
+    pub fn claimed_by<P>(
+        &mut self,
+        context: &mut Context,
+        flows: &mut Flows<P>,
+        peer: &Name,
+        claims: Vec<Claim>,
+        now: Moment,
+    ) -> Vec<Claim> {
+        let keys = claims.iter().map(|(flow, _)| *flow).collect();
+        let (yielded, refused) = compare(context, flows, claims, now);
+        context.send(peer, Message::Claimed { flows: keys, refused });
+        yielded
+    }
+
+    /// Takes in a home's answer to claims; returns the flows that this agent
+    /// has to give up, with the owner that prevails.
+    pub fn acknowledged<P>(
+        &mut self,
+        context: &mut Context,
+        flows: &mut Flows<P>,
+        peer: &Name,
+        keys: &[FlowKey],
+        refused: Vec<Claim>,
+        now: Moment,
+    ) -> Vec<Claim> {
+        self.claims.acknowledged(peer, keys);
+        compare(context, flows, refused, now).0
+    }
+
+    /// Takes in a peer's answer while settling; returns the flows that this
+    /// agent owned and gave up, with the owner that prevails.
+    pub fn told<P>(
+        &mut self,
+        context: &mut Context,
+        flows: &mut Flows<P>,
+        peer: &Name,
+        claims: Vec<Claim>,
+        now: Moment,
+    ) -> Vec<Claim> {
+        self.unsettled.remove(peer);
+        let (yielded, refused) = compare(context, flows, claims, now);
+        if !refused.is_empty() {
+            context.send(peer, Message::Claimed { flows: Vec::new(), refused });
+        }
+        yielded
+    }
+
+    /// Takes in that a peer runs anew: the flows it owned are gone, and so are
+    /// the claims it knew.
+    pub fn restarted<P>(
+        &mut self,
+        context: &mut Context,
+        flows: &mut Flows<P>,
+        peer: &Name,
+        now: Moment,
+    ) {
+        flows.forget_owner(peer);
+        let share = share_of(context, flows, peer);
+        self.claims.send(context, peer, share, now);
+    }
+
+    /// Takes in that a peer's VM was dropped from the live list.
+    pub fn removed<P>(&mut self, flows: &mut Flows<P>, peer: &Name) {
+        flows.forget_owner(peer);
+        self.unsettled.remove(peer);
+        self.claims.drop_home(peer);
+    }
+
+    /// Repeats claims that were not answered, and now and then all of them.
+    pub fn sweep<P>(&mut self, context: &mut Context, flows: &Flows<P>, now: Moment) {
+        if now.since(self.confirmed) >= CONFIRM {
+            self.confirmed = now;
+            self.claim_all(context, flows, now);
+        }
+        for (home, keys) in self.claims.due(now) {
+            if context.backend(&home).is_none() {
+                continue;
+            }
+            let mine = |flow: FlowKey| {
+                let stamp = flows.stamp(&flow).filter(|s| s.owner == context.me);
+                stamp.map(|s| (flow, s.clone()))
+            };
+            let claims: Vec<_> = keys.into_iter().filter_map(mine).collect();
+            claims.iter().for_each(|_| context.count(Reason::RetryClaim));
+            self.claims.send(context, &home, claims, now);
+        }
+    }
+
+    /// Tells the homes of flows that they are owned here.
+    pub fn claim<P>(
+        &mut self,
+        context: &mut Context,
+        flows: &Flows<P>,
+        keys: &[FlowKey],
+        now: Moment,
+    ) {
+        let mut by_home: BTreeMap<Name, Vec<Claim>> = BTreeMap::new();
+        for flow in keys {
+            let Some(stamp) = flows.stamp(flow) else { continue };
+            for home in context.homes(flow) {
+                by_home.entry(home).or_default().push((*flow, stamp.clone()));
+            }
+        }
+        for (home, claims) in by_home {
+            self.claims.send(context, &home, claims, now);
+        }
+    }
+
+    /// Tells the homes of a flow that it is over.
+    pub fn release(&mut self, context: &mut Context, flow: &FlowKey) {
+        self.claims.drop_flow(flow);
+        for home in context.homes(flow) {
+            context.send(&home, Message::Gone { flow: *flow });
+        }
+    }
+
+    /// Gives up the claims of a flow that is handed over.
+    pub fn drop_flow(&mut self, flow: &FlowKey) {
+        self.claims.drop_flow(flow);
+    }
+
+    fn claim_all<P>(&mut self, context: &mut Context, flows: &Flows<P>, now: Moment) {
+        let away = |flow: &FlowKey| !context.homes(flow).is_empty();
+        let keys: Vec<_> = flows.claims(away).into_iter().map(|(f, _)| f).collect();
+        self.claim(context, flows, &keys, now);
+    }
+}
+
+/// Returns the flows of a peer's share that are owned here.
+pub fn share_of<P>(context: &Context, flows: &Flows<P>, peer: &Name) -> Vec<Claim> {
+    flows.claims(|flow| context.homes(flow).contains(peer))
+}
+
+/// Compares claims with what is known here; returns the flows given up and
+/// those whose known owner prevails.
+fn compare<P>(
+    context: &mut Context,
+    flows: &mut Flows<P>,
+    claims: Vec<Claim>,
+    now: Moment,
+) -> (Vec<Claim>, Vec<Claim>) {
+    let (mut yielded, mut refused) = (Vec::new(), Vec::new());
+    for (flow, stamp) in claims {
+        match flows.claim(flow, &stamp, now) {
+            Change::Kept => {}
+            Change::Yielded => {
+                context.count(Reason::OwnerYielded);
+                yielded.push((flow, stamp));
+            }
+            Change::Refused(prevailing) => refused.push((flow, prevailing)),
+        }
+    }
+    (yielded, refused)
+}
--- /dev/null
+++ b/lib/src/connection/standing.rs
@@ -0,0 +1,219 @@
+//! The standing channels of an agent, from their opening to their handover.
+
+use super::channel::Moved;
+use super::channels::Channels;
+use super::claims::Claim;
+use super::flow::FlowKey;
+use super::handover::Handover;
+use super::router::Router;
+use super::stamp::Stamp;
+use crate::process::action::Action;
+use crate::process::context::Context;
+use crate::process::message::Message;
+use crate::process::message::Pass;
+use crate::process::message::Via;
+use crate::process::moment::Moment;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+use crate::request::answer::Answer;
+use crate::request::answer::Code;
+use crate::request::message::Request;
+use crate::request::requests::Requests;
+use crate::request::token::Token;
+
+/// Channels that are served here, and those on their way to other agents.
+#[derive(Debug, Default)]
+pub struct Standing {
+    channels: Channels,
+    handover: Handover,
+}
+
+impl Standing {
+    /// Opens without channels.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of channels that are served here.
+    pub fn len(&self) -> usize {
+        self.channels.len()
+    }
+
+    /// Returns whether no channel is served here.
+    pub fn is_empty(&self) -> bool {
+        self.channels.is_empty()
+    }
+
+    /// Opens a channel for a caller, or refuses it.
+    pub fn register<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        requests: &mut Requests,
+        pass: Pass,
+        request: Request,
+        now: Moment,
+    ) {
+        let flow = pass.header.flow;
+        let known = self.channels.has(&flow, &request.token);
+        let refusal = if known {
+            None
+        } else if context.told_health().leaving {
+            Some(Reason::Leaving)
+        } else if !self.channels.has_room() {
+            Some(Reason::FlowsFull)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            context.count(reason);
+            let answer = Answer::bare(request.token, Code::NotRun(reason));
+            context.act(Action::Answer { via: pass.via, flow, id: request.id, answer });
+            return;
+        }
+        let id = requests.number();
+        if self.channels.register(context, flow, request, pass.via, id, now) {
+            router.flows().pin(&flow, true);
+        }
+    }
+
+    /// Takes in what the backend server says under number `id`; returns false
+    /// if that is no channel.
+    pub fn notified(
+        &mut self,
+        context: &mut Context,
+        id: u64,
+        answer: Answer,
+        now: Moment,
+    ) -> bool {
+        self.channels.notified(context, id, answer, now)
+    }
+
+    /// Takes in a caller's acknowledgement, and the way it came.
+    pub fn acknowledged(
+        &mut self,
+        context: &mut Context,
+        flow: FlowKey,
+        message: u16,
+        via: Via,
+        now: Moment,
+    ) {
+        self.channels.acknowledged(context, flow, message, via, now);
+    }
+
+    /// Closes the channel whose notification its caller refused.
+    pub fn reset<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        flow: FlowKey,
+        message: u16,
+    ) {
+        if self.channels.reset(context, flow, message) {
+            router.flows().pin(&flow, false);
+        }
+    }
+
+    /// Closes the channel that a caller deregistered.
+    pub fn deregister<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        flow: FlowKey,
+        token: &Token,
+    ) {
+        if self.channels.deregister(context, flow, token) {
+            router.flows().pin(&flow, false);
+        }
+    }
+
+    /// Serves channels that another agent hands over.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one message and its receiver")]
+    pub fn adopt<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        requests: &mut Requests,
+        from: &Name,
+        stamp: Stamp,
+        channels: Vec<Moved>,
+        via: Via,
+        now: Moment,
+    ) {
+        let Some(flow) = channels.first().map(|(r, _)| r.flow) else { return };
+        if let Err(reason) = router.adopt(context, flow, stamp, now) {
+            context.count(reason);
+            return;
+        }
+        for (registration, waiting) in channels {
+            let id = requests.number();
+            if self.channels.adopt(context, registration, waiting, via.clone(), id, now) {
+                router.flows().pin(&flow, true);
+            }
+        }
+        context.send(from, Message::Adopted { flow });
+    }
+
+    /// Takes in that `peer` has taken a flow.
+    pub fn confirmed(&mut self, peer: &Name, flow: &FlowKey) {
+        self.handover.confirmed(peer, flow);
+    }
+
+    /// Hands every channel to a peer that takes work; returns whether all have
+    /// arrived.
+    pub fn hand_over<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        now: Moment,
+    ) -> bool {
+        let arrived = self.handover.is_empty() && self.channels.is_empty();
+        for flow in self.channels.flows() {
+            let names = context.candidates();
+            let best = context.peers.better_of_two(&names, &mut context.rng);
+            let stamp = best.and_then(|(peer, _)| router.hand_over(&flow, &peer, now));
+            let channels = stamp.as_ref().and_then(|_| self.channels.hand_over(context, &flow));
+            if let Some((stamp, (channels, via))) = stamp.zip(channels) {
+                self.handover.send(context, flow, stamp, channels, via, now);
+            }
+        }
+        arrived
+    }
+
+    /// Gives the channels of flows that an older owner has to that owner.
+    pub fn give_up(&mut self, context: &mut Context, yielded: Vec<Claim>, now: Moment) {
+        for (flow, stamp) in yielded {
+            if let Some((channels, via)) = self.channels.hand_over(context, &flow) {
+                self.handover.send(context, flow, stamp, channels, via, now);
+            }
+        }
+    }
+
+    /// Repeats what was not acknowledged or confirmed, and gives up callers
+    /// that are gone.
+    pub fn sweep<C>(
+        &mut self,
+        context: &mut Context,
+        router: &mut Router<C>,
+        requests: &mut Requests,
+        now: Moment,
+    ) {
+        for flow in self.channels.sweep(context, now) {
+            router.flows().pin(&flow, false);
+        }
+        // Flows whose receiver died on the way go to another one, or stay here.
+        for (flow, stamp, channels, via) in self.handover.sweep(context, now) {
+            let names = context.candidates();
+            let best = context.peers.better_of_two(&names, &mut context.rng);
+            let owner = best.map_or(context.me.clone(), |(peer, _)| peer);
+            let stamp = Stamp { owner, moves: stamp.moves + 1, ..stamp };
+            if stamp.owner == context.me {
+                let me = stamp.owner.clone();
+                self.adopt(context, router, requests, &me, stamp, channels, via, now);
+            } else {
+                router.flows().redirect(flow, stamp.clone(), now);
+                self.handover.send(context, flow, stamp, channels, via, now);
+            }
+        }
+    }
+}
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -23,19 +23,14 @@
 use super::safeguard::Safeguard;
 use super::tally::Tally;
 use crate::connection::arrival::Arrival;
-use crate::connection::channel::Moved;
-use crate::connection::channels::Channels;
 use crate::connection::flow::FlowKey;
-use crate::connection::handover::Handover;
 use crate::connection::router::MAX_HOPS;
 use crate::connection::router::Outcome;
 use crate::connection::router::Router;
-use crate::connection::stamp::Stamp;
-use crate::process::message::Via;
+use crate::connection::settling::share_of;
+use crate::connection::standing::Standing;
 use crate::request::answer::Answer;
-use crate::request::answer::Code;
 use crate::request::message::Content;
-use crate::request::message::Request;
 use crate::request::requests::Requests;
 use crate::request::requests::concerns;
 use crate::request::votes::Votes;
@@ -52,8 +47,7 @@
     router: Router<Content>,
     requests: Requests,
     votes: Votes,
-    channels: Channels,
-    handover: Handover,
+    standing: Standing,
     recovery: Recovery,
     heartbeat: Heartbeat,
     // Notices of this agent count up, so that the latest is known everywhere.
@@ -77,8 +71,7 @@
             context,
             requests: Requests::open(run, slots),
             votes: Votes::open(now),
-            channels: Channels::open(),
-            handover: Handover::open(),
+            standing: Standing::open(),
             recovery: Recovery::open(now),
             heartbeat: Heartbeat::open(),
             noticed: run.0,
@@ -112,12 +105,12 @@
             flows,
             redirects,
             lookups,
-            channels: self.channels.len(),
+            channels: self.standing.len(),
             requests: self.requests.open_count(),
             exchanges: self.requests.len(),
             grants: self.votes.len(),
             recovering: self.votes.abstains(&self.context, now),
-            settled: self.router.is_settled(),
+            settled: self.router.settling().unsettled().is_empty(),
         }
     }
 
@@ -135,7 +128,8 @@
             }
             self.requests.joint_changed(&mut self.context);
             self.votes.joint_changed(&self.context);
-            self.router.enforce(&mut self.context, now);
+            let (settling, flows) = self.router.settle();
+            settling.enforce(&mut self.context, flows, now);
             self.recovery = Recovery::open(now);
             self.heartbeat.hurry();
         }
@@ -154,7 +148,8 @@
     /// Takes in that the VM of a backend server was dropped from the live list.
     pub fn removed(&mut self, name: &Name, now: Moment) {
         self.context.removed(name, now);
-        self.router.removed(name);
+        let (settling, flows) = self.router.settle();
+        settling.removed(flows, name);
     }
 
     /// Takes in a caller's packet that an entry or another agent passed on.
@@ -192,7 +187,8 @@
             Sign::Restarted => {
                 self.spread(&from, false, now);
                 self.requests.restarted(&from, run);
-                self.router.restarted(&mut self.context, &from, now);
+                let (settling, flows) = self.router.settle();
+                settling.restarted(&mut self.context, flows, &from, now);
             }
         }
         self.handle(from, run, message, now);
@@ -203,7 +199,7 @@
     pub fn backend(&mut self, id: u64, answer: Answer, now: Moment) -> Vec<Action> {
         let context = &mut self.context;
         let known = self.requests.answered(context, id, answer.clone(), now)
-            || self.channels.notified(context, id, answer, now);
+            || self.standing.notified(context, id, answer, now);
         if !known {
             context.count(Reason::LateAnswer);
         }
@@ -232,10 +228,8 @@
         self.heartbeat.beat(&mut self.context, now);
         self.router.sweep(&mut self.context, now);
         self.requests.sweep(&mut self.context, &mut self.votes, now);
-        for flow in self.channels.sweep(&mut self.context, now) {
-            self.router.flows().pin(&flow, false);
-        }
-        self.sweep_handover(now);
+        let (router, requests) = (&mut self.router, &mut self.requests);
+        self.standing.sweep(&mut self.context, router, requests, now);
         self.votes.sweep(&self.context, now);
         if self.context.joint.sweep(now) {
             self.context.refresh_peers(now);
@@ -247,15 +241,7 @@
     ///
     /// Returns whether every channel has arrived at its new agent.
     pub fn hand_over(&mut self, now: Moment) -> (bool, Vec<Action>) {
-        let mut all = self.handover.is_empty();
-        for flow in self.channels.flows() {
-            let names = self.context.candidates();
-            let best = self.context.peers.better_of_two(&names, &mut self.context.rng);
-            if let Some((peer, _)) = best {
-                self.move_flow(&flow, &peer, now);
-            }
-            all = false;
-        }
+        let all = self.standing.hand_over(&mut self.context, &mut self.router, now);
         (all, self.context.take_actions())
     }
 
@@ -291,23 +277,29 @@
             Message::Synced { version, flows, grants, memberships, former, recovering, .. } => {
                 self.learn_memberships(&memberships, now);
                 let context = &mut self.context;
-                self.router.unsettle(context.learn_left(&former, now));
+                let (settling, owned) = self.router.settle();
+                settling.unsettle(context.learn_left(&former, now));
                 self.votes.learn(context, &from, &grants, recovering, now);
                 if version == context.manifest.version() {
-                    let yielded = self.router.settle(context, &from, flows, now);
-                    self.yield_channels(yielded, now);
+                    let yielded = settling.told(context, owned, &from, flows, now);
+                    self.standing.give_up(context, yielded, now);
                 }
             }
             Message::Claims { flows } => {
-                let yielded = self.router.claimed_by(context, &from, flows, now);
-                self.yield_channels(yielded, now);
+                let (settling, owned) = self.router.settle();
+                let yielded = settling.claimed_by(context, owned, &from, flows, now);
+                self.standing.give_up(context, yielded, now);
             }
             Message::Claimed { flows, refused } => {
-                let yielded = self.router.acknowledged(context, &from, &flows, refused, now);
-                self.yield_channels(yielded, now);
+                let (settling, owned) = self.router.settle();
+                let yielded = settling.acknowledged(context, owned, &from, &flows, refused, now);
+                self.standing.give_up(context, yielded, now);
+            }
+            Message::Adopt { stamp, channels, via } => {
+                let (router, requests) = (&mut self.router, &mut self.requests);
+                self.standing.adopt(context, router, requests, &from, stamp, channels, via, now);
             }
-            Message::Adopt { stamp, channels, via } => self.adopt(&from, stamp, channels, via, now),
-            Message::Adopted { flow } => self.handover.confirmed(&from, &flow),
+            Message::Adopted { flow } => self.standing.confirmed(&from, &flow),
             Message::Pass(_) | Message::Reply { .. } | Message::Credit | Message::Gossip { .. } => {
             }
         }
@@ -342,97 +334,21 @@
         let flow = pass.header.flow;
         match content {
             Content::Request(request) if request.observe == Some(true) => {
-                self.register(pass, request, now);
+                let (router, requests) = (&mut self.router, &mut self.requests);
+                self.standing.register(context, router, requests, pass, request, now);
             }
             Content::Request(request) => {
-                if request.observe == Some(false)
-                    && self.channels.deregister(context, flow, &request.token)
-                {
-                    self.router.flows().pin(&flow, false);
+                if request.observe == Some(false) {
+                    let token = &request.token;
+                    self.standing.deregister(context, &mut self.router, flow, token);
                 }
                 self.requests.receive(context, &mut self.votes, pass, request, now);
             }
             Content::Acknowledge(id) => {
-                self.channels.acknowledged(context, flow, id, pass.via, now);
+                self.standing.acknowledged(context, flow, id, pass.via, now);
             }
             Content::Reset(id) => {
-                if self.channels.reset(context, flow, id) {
-                    self.router.flows().pin(&flow, false);
-                }
-            }
-        }
-    }
-
-    fn register(&mut self, pass: Pass, request: Request, now: Moment) {
-        let context = &mut self.context;
-        let flow = pass.header.flow;
-        let refusal = if context.told_health().leaving {
-            Some(Reason::Leaving)
-        } else if !self.channels.has_room() {
-            Some(Reason::FlowsFull)
-        } else {
-            None
-        };
-        if let Some(reason) = refusal {
-            context.count(reason);
-            let answer = Answer::bare(request.token, Code::NotRun(reason));
-            context.act(Action::Answer { via: pass.via, flow, id: request.id, answer });
-            return;
-        }
-        let id = self.requests.number();
-        if self.channels.register(context, flow, request, pass.via, id, now) {
-            self.router.flows().pin(&flow, true);
-        }
-    }
-
-    fn adopt(&mut self, from: &Name, stamp: Stamp, channels: Vec<Moved>, via: Via, now: Moment) {
-        let Some(flow) = channels.first().map(|(r, _)| r.flow) else { return };
-        let context = &mut self.context;
-        if let Err(reason) = self.router.adopt(context, flow, stamp, now) {
-            context.count(reason);
-            return;
-        }
-        for (registration, waiting) in channels {
-            let id = self.requests.number();
-            if self.channels.adopt(context, registration, waiting, via.clone(), id, now) {
-                self.router.flows().pin(&flow, true);
-            }
-        }
-        context.send(from, Message::Adopted { flow });
-    }
-
-    fn move_flow(&mut self, flow: &FlowKey, peer: &Name, now: Moment) {
-        let Some(stamp) = self.router.hand_over(flow, peer, now) else { return };
-        let context = &mut self.context;
-        if let Some((channels, via)) = self.channels.hand_over(context, flow) {
-            self.handover.send(context, *flow, stamp, channels, via, now);
-        }
-    }
-
-    // The channels of flows that an older owner has go to that owner.
-    fn yield_channels(&mut self, yielded: Vec<(FlowKey, Stamp)>, now: Moment) {
-        let context = &mut self.context;
-        for (flow, stamp) in yielded {
-            if let Some((channels, via)) = self.channels.hand_over(context, &flow) {
-                self.handover.send(context, flow, stamp, channels, via, now);
-            }
-        }
-    }
-
-    // Flows whose receiver died on the way go to another one, or stay here.
-    fn sweep_handover(&mut self, now: Moment) {
-        for (flow, stamp, channels, via) in self.handover.sweep(&mut self.context, now) {
-            let context = &mut self.context;
-            let names = context.candidates();
-            let best = context.peers.better_of_two(&names, &mut context.rng);
-            let owner = best.map_or(context.me.clone(), |(peer, _)| peer);
-            let stamp = Stamp { owner, moves: stamp.moves + 1, ..stamp };
-            if stamp.owner == context.me {
-                let me = stamp.owner.clone();
-                self.adopt(&me, stamp, channels, via, now);
-            } else {
-                self.router.flows().redirect(flow, stamp.clone(), now);
-                self.handover.send(context, flow, stamp, channels, via, now);
+                self.standing.reset(context, &mut self.router, flow, id);
             }
         }
     }
@@ -456,7 +372,7 @@
         if mine < version && !recovering {
             return;
         }
-        let flows = self.router.share_of(context, peer);
+        let flows = share_of(context, self.router.flows(), peer);
         let mut grants = Vec::new();
         if recovering {
             grants = self.votes.grants_for(|key| concerns(context, peer, key));
--- a/lib/src/process/recovery.rs
+++ b/lib/src/process/recovery.rs
@@ -36,7 +36,7 @@
         now: Moment,
     ) {
         let mut owing = votes.untold(context);
-        owing.extend(router.unsettled().iter().cloned());
+        owing.extend(router.settling().unsettled().iter().cloned());
         if now < self.due || owing.is_empty() {
             return;
         }
--- a/lib/tests/failures.rs
+++ b/lib/tests/failures.rs
@@ -177,3 +177,26 @@
     let answered = keys.iter().filter(|k| done(world.calls.all[k].outcome())).count();
     assert_eq!(answered, keys.len());
 }
+
+#[test]
+fn a_channel_is_answered_again_when_its_first_answer_is_lost() {
+    for seed in 0..8 {
+        let mut doc = docs::numbered(0, 4);
+        doc.lifetime = SECOND * 2;
+        let mut world = World::open(seed, 3, vec![doc]);
+        world.run(SECOND * 4);
+        let address = world.docs()[0].address;
+        world.faults.drop = 0.5;
+        let mut keys = Vec::new();
+        for i in 0..FLOWS {
+            let flow = world.flow(Protocol::Udp, i, address);
+            keys.push(world.observe(flow));
+        }
+        // Every transmission but the last may be lost.
+        world.run(SECOND * 5);
+        world.faults.drop = 0.0;
+        world.run(SECOND * 5);
+        let unanswered = keys.iter().filter(|k| world.calls.all[k].outcome().is_none()).count();
+        assert_eq!(unanswered, 0, "seed {seed}");
+    }
+}
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -33,6 +33,8 @@
     published: watch::Sender<Published>,
     // What a stale service goes on answering.
     stale: Mutex<Option<Published>>,
+    // The first version, which a replica that lags for good answers.
+    first: Mutex<Option<Published>>,
     down: Mutex<bool>,
     slow: Mutex<Duration>,
     live: Mutex<BTreeMap<Name, BTreeSet<Name>>>,
@@ -65,6 +67,7 @@
         let inner = Arc::new(Inner {
             published: watch::Sender::new((Index::default(), Vec::new())),
             stale: Mutex::new(None),
+            first: Mutex::new(None),
             down: Mutex::new(false),
             slow: Mutex::new(Duration::ZERO),
             live: Mutex::new(BTreeMap::new()),
@@ -100,6 +103,7 @@
     pub fn publish(&self, docs: Vec<Doc>) -> u64 {
         let published = lock(&self.pipeline).publish(docs);
         let version = published.0.version;
+        lock(&self.inner.first).get_or_insert_with(|| published.clone());
         self.inner.published.send_replace(published);
         version
     }
@@ -120,6 +124,12 @@
         *lock(&self.inner.stale) = stale.then_some(now);
     }
 
+    /// Makes the service answer its first version from now on.
+    pub fn set_stale_at_first(&self) {
+        let first = lock(&self.inner.first).clone();
+        *lock(&self.inner.stale) = first;
+    }
+
     /// Makes each answer take `delay` longer.
     pub fn set_slow(&self, delay: Duration) {
         *lock(&self.inner.slow) = delay;
