Run the life cycle as typestate in the daemon; one type a file

Cause: read as a newcomer, the life cycle types of lib were not used by the daemon, which set its state by strings; two option structs were the same; two files had more than one job. Ruled out: a state enum in place of the types (a wrong step would compile). Change: the control thread steps through Life<Starting> to Life<Stopped>, and a planned stop ends after its time even if a traffic thread is stuck.

--- a/daemon/src/connection/agent.rs
+++ b/daemon/src/connection/agent.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::owed::Owed;
@@ -11,7 +10,6 @@
 use lagoonhollow_lib::process::agent::Agent;
 use lagoonhollow_lib::process::gossip::Gossip;
 use lagoonhollow_lib::process::gossip::Heard;
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::live::Live;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::message::Message;
@@ -30,8 +28,7 @@
 use crate::process::bridge::Current;
 use crate::process::bridge::Report;
 use crate::process::bridge::Traffic;
-use crate::process::clock::Clock;
-use crate::process::metrics::Metrics;
+use crate::process::bridge::TrafficOptions;
 use crate::request::backend::Backend;
 
 /// Time between two rounds of what is due by time.
@@ -39,26 +36,9 @@
 /// Time that peers are given to learn of a planned stop.
 const SETTLE: Duration = Duration::from_secs(1);
 
-/// What the traffic thread of an agent is opened with.
-#[derive(Debug)]
-pub struct AgentOptions {
-    /// Name of the backend server.
-    pub me: Name,
-    /// This run.
-    pub run: Incarnation,
-    /// Address of the control endpoint.
-    pub control: SocketAddr,
-    /// Time for a planned stop.
-    pub drain: Duration,
-    /// The process's clock.
-    pub clock: Clock,
-    /// The process's metrics.
-    pub metrics: Arc<Metrics>,
-}
-
 /// A traffic thread's state.
 struct Thread {
-    options: AgentOptions,
+    options: TrafficOptions,
     link: Link,
     backend: Backend,
     reports: mpsc::Sender<Report>,
@@ -84,7 +64,7 @@
 ///
 /// Returns an error if a socket fails.
 pub async fn run(
-    options: AgentOptions,
+    options: TrafficOptions,
     link: Link,
     backend: Backend,
     traffic: Traffic,
--- a/daemon/src/connection/entry.rs
+++ b/daemon/src/connection/entry.rs
@@ -11,7 +11,6 @@
 use lagoonhollow_lib::connection::flow::Header;
 use lagoonhollow_lib::process::gossip::Gossip;
 use lagoonhollow_lib::process::gossip::Heard;
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::message::Message;
 use lagoonhollow_lib::process::message::Mode;
@@ -35,8 +34,7 @@
 use crate::process::bridge::Command;
 use crate::process::bridge::Report;
 use crate::process::bridge::Traffic;
-use crate::process::clock::Clock;
-use crate::process::metrics::Metrics;
+use crate::process::bridge::TrafficOptions;
 
 /// Longest packet of a caller in bytes; a buffer of it is held per service.
 const MAX_PACKET: usize = 2_048;
@@ -45,27 +43,10 @@
 /// Time for answers on their way after the service sockets are closed.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// What a traffic thread of an entry is opened with.
-#[derive(Debug)]
-pub struct EntryOptions {
-    /// Name of the entry.
-    pub me: Name,
-    /// This run.
-    pub run: Incarnation,
-    /// Address of the control endpoint.
-    pub control: SocketAddr,
-    /// Time for a planned stop.
-    pub drain: Duration,
-    /// The process's clock.
-    pub clock: Clock,
-    /// The process's metrics.
-    pub metrics: Arc<Metrics>,
-}
-
 /// A traffic thread's state; it never leaves its thread.
 #[derive(Debug)]
 struct Entry {
-    options: EntryOptions,
+    options: TrafficOptions,
     link: Link,
     via: Via,
     reports: mpsc::Sender<Report>,
@@ -88,7 +69,7 @@
 /// # Errors
 ///
 /// Returns an error if the link fails.
-pub async fn run(options: EntryOptions, link: Link, traffic: Traffic) -> std::io::Result<()> {
+pub async fn run(options: TrafficOptions, link: Link, traffic: Traffic) -> std::io::Result<()> {
     let now = options.clock.now();
     let via = Via { entry: options.me.clone(), link: link.address()? };
     let Traffic { mut commands, reports, mut current } = traffic;
--- a/daemon/src/process/admin.rs
+++ b/daemon/src/process/admin.rs
@@ -9,6 +9,10 @@
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
 use lagoonhollow_lib::process::explained::Explained;
+use lagoonhollow_lib::process::life::Life;
+use lagoonhollow_lib::process::life::Serving;
+use lagoonhollow_lib::process::life::Starting;
+use lagoonhollow_lib::process::life::State as LifeState;
 use ntex::web;
 use ntex::web::HttpResponse;
 use ntex::web::types::Query;
@@ -53,13 +57,15 @@
         versions: Versions,
         traffic: mpsc::Sender<Command>,
     ) -> Self {
-        Self { settings, metrics, versions, traffic, state: Mutex::new("starting") }
+        Self { settings, metrics, versions, traffic, state: Mutex::new(Starting::NAME) }
     }
 
-    /// Shows the life cycle state.
-    pub fn set_state(&self, state: &'static str) {
+    /// Shows the state that the life cycle has entered.
+    pub fn enter<S: LifeState>(&self, life: &Life<S>) {
+        let state = life.name();
         *self.state.lock().unwrap_or_else(|e| e.into_inner()) = state;
-        self.metrics.ready.set((state == "serving").into());
+        self.metrics.ready.set((state == Serving::NAME).into());
+        spdlog::info!("state", kv: { state });
     }
 
     /// Returns what operators are told.
@@ -89,7 +95,7 @@
             domain: self.settings.domain.to_string(),
             state: state.to_owned(),
             version,
-            ready: state == "serving" && version > 0,
+            ready: state == Serving::NAME && version > 0,
             held: held.map(|(name, n)| (name.to_owned(), n as u64)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
         }
--- a/daemon/src/process/bridge.rs
+++ b/daemon/src/process/bridge.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::process::explained::Explained;
+use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::version::manifest::InForce;
@@ -14,6 +16,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::clock::Clock;
+use super::metrics::Metrics;
+
 /// Messages that wait in one queue at most.
 pub const QUEUE: usize = 4_096;
 
@@ -61,6 +66,23 @@
     Drained,
 }
 
+/// What a traffic thread is opened with.
+#[derive(Clone, Debug)]
+pub struct TrafficOptions {
+    /// Name of the process: an agent's is that of its backend server.
+    pub me: Name,
+    /// This run.
+    pub run: Incarnation,
+    /// Address of the control endpoint.
+    pub control: SocketAddr,
+    /// Time for a planned stop.
+    pub drain: Duration,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+}
+
 /// A traffic thread's ends of the queues.
 #[derive(Debug)]
 pub struct Traffic {
--- /dev/null
+++ b/daemon/src/process/carrier.rs
@@ -0,0 +1,59 @@
+//! What the control thread does with the reports of traffic threads.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_wire::control::Call;
+use ntex::rt::spawn;
+
+use super::admin::Shared;
+use super::bridge::Report;
+use crate::connection::endpoint::Control;
+use crate::version::watch;
+
+/// Carries messages to other processes' control endpoints.
+pub struct Carrier {
+    control: Control,
+    shared: Arc<Shared>,
+    pulling: Rc<Cell<bool>>,
+    running: usize,
+}
+
+impl Carrier {
+    /// Opens for the reports of `threads` traffic threads.
+    pub fn open(control: Control, shared: Arc<Shared>, threads: usize) -> Self {
+        Self { control, shared, pulling: Rc::default(), running: threads }
+    }
+
+    /// Returns the number of traffic threads that have not drained.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Does what a report asks for.
+    pub fn carry(&mut self, report: Report) {
+        let (control, shared) = (self.control.clone(), self.shared.clone());
+        match report {
+            Report::Bulk { control: peer, sealed } => {
+                shared.metrics.control_bytes.inc_by(sealed.len() as u64);
+                spawn(async move {
+                    if control.call(peer, &Call::Deliver { sealed }).await.is_err() {
+                        shared.metrics.count(Reason::PeerUnreachable);
+                    }
+                });
+            }
+            // One pull at a time is enough: the sender keeps showing its version.
+            Report::Newer(peer) if !self.pulling.replace(true) => {
+                let pulling = self.pulling.clone();
+                spawn(async move {
+                    watch::pull(&control, peer, &shared.versions, &shared.metrics).await;
+                    pulling.set(false);
+                });
+            }
+            Report::Newer(_) => {}
+            Report::Drained => self.running = self.running.saturating_sub(1),
+        }
+    }
+}
--- a/daemon/src/process/control.rs
+++ b/daemon/src/process/control.rs
@@ -1,10 +1,11 @@
 //! The control thread: versions, control connections, the platform, admin HTTP.
 
-use std::cell::Cell;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use lagoonhollow_lib::process::life::Draining;
+use lagoonhollow_lib::process::life::Life;
+use lagoonhollow_lib::process::life::Stopped;
 use lagoonhollow_lib::process::reason::Reason;
 use lagoonhollow_wire::control::Call;
 use lagoonhollow_wire::control::Return;
@@ -19,6 +20,8 @@
 use super::admin::Shared;
 use super::bridge::Command;
 use super::bridge::Report;
+use super::carrier::Carrier;
+use super::clock::Clock;
 use super::settings::Role;
 use crate::connection::endpoint;
 use crate::connection::endpoint::Control;
@@ -29,6 +32,8 @@
 use crate::version::platform::Platform;
 use crate::version::watch;
 
+/// Time beyond its own limit that a planned stop is given.
+const DRAIN_SLACK: Duration = Duration::from_secs(2);
 /// Time between two reads of the live list.
 const LIVE: Duration = Duration::from_secs(30);
 /// Time between two questions for the backend server's health.
@@ -46,13 +51,17 @@
     pub reports: mpsc::Receiver<Report>,
     /// The order for a planned stop.
     pub stop: oneshot::Receiver<()>,
+    /// The process's clock.
+    pub clock: Clock,
     /// Where the result of the start goes.
     pub started: std::sync::mpsc::Sender<Result<(), String>>,
 }
 
 /// Runs the control thread until a planned stop is complete.
 pub async fn run(options: Options) {
-    let Options { shared, traffic, mut reports, stop, started } = options;
+    let Options { shared, traffic, mut reports, mut stop, started, clock } = options;
+    let life = Life::open(clock.now());
+    shared.enter(&life);
     let settings = shared.settings.clone();
     let control = match open(&shared).await {
         Ok(control) => control,
@@ -62,6 +71,8 @@
         }
     };
     let _ = started.send(Ok(()));
+    let life = life.recover(clock.now());
+    shared.enter(&life);
     let versions = shared.versions.clone();
     let metrics = shared.metrics.clone();
     spawn(accept(control.clone(), shared.clone(), traffic.clone()));
@@ -74,19 +85,48 @@
             spawn(ask_health(url, traffic.clone()));
         }
     }
-    shared.set_state("serving");
-    spawn(drain(stop, shared.clone(), traffic.clone()));
-    carry(&mut reports, &control, &shared, traffic.len()).await;
-    shared.set_state("stopped");
+    let life = life.serve(clock.now());
+    shared.enter(&life);
+    let mut carrier = Carrier::open(control.clone(), shared.clone(), traffic.len());
+    loop {
+        tokio::select! {
+            Some(report) = reports.recv() => carrier.carry(report),
+            // A dropped sender is an order to stop as well.
+            _ = &mut stop => break,
+        }
+    }
+    let life = life.drain(clock.now(), settings.drain + DRAIN_SLACK);
+    shared.enter(&life);
+    for queue in &traffic {
+        let _ = queue.send(Command::Drain).await;
+    }
+    let life = drained(life, &mut reports, &mut carrier, clock).await;
+    shared.enter(&life);
     control.close();
-    spdlog::info!("stopped");
+}
+
+/// Waits until all traffic threads have drained, or the time is over.
+async fn drained(
+    mut life: Life<Draining>,
+    reports: &mut mpsc::Receiver<Report>,
+    carrier: &mut Carrier,
+    clock: Clock,
+) -> Life<Stopped> {
+    loop {
+        life = match life.finish(clock.now(), carrier.running()) {
+            Ok(life) => return life,
+            Err(life) => life,
+        };
+        if let Ok(Some(report)) = tokio::time::timeout(DRAIN_SLACK, reports.recv()).await {
+            carrier.carry(report);
+        }
+    }
 }
 
 async fn open(shared: &Arc<Shared>) -> Result<Control, String> {
     let settings = &shared.settings;
     let control = Control::bind(settings.control, &settings.key).map_err(|e| e.to_string())?;
     admin::bind(shared.clone()).map_err(|e| format!("can't bind {}: {e}", settings.admin))?;
-    shared.set_state("starting");
     Ok(control)
 }
 
@@ -132,58 +172,6 @@
     }
 }
 
-/// Carries the traffic threads' reports until all of them have drained.
-async fn carry(
-    reports: &mut mpsc::Receiver<Report>,
-    control: &Control,
-    shared: &Arc<Shared>,
-    threads: usize,
-) {
-    let pulling = Rc::new(Cell::new(false));
-    let mut drained = 0;
-    while let Some(report) = reports.recv().await {
-        match report {
-            Report::Bulk { control: peer, sealed } => {
-                shared.metrics.control_bytes.inc_by(sealed.len() as u64);
-                let (control, shared) = (control.clone(), shared.clone());
-                spawn(async move {
-                    if control.call(peer, &Call::Deliver { sealed }).await.is_err() {
-                        shared.metrics.count(Reason::PeerUnreachable);
-                    }
-                });
-            }
-            // One pull at a time is enough: the sender keeps showing its version.
-            Report::Newer(peer) if !pulling.replace(true) => {
-                let (control, shared) = (control.clone(), shared.clone());
-                let pulling = pulling.clone();
-                spawn(async move {
-                    watch::pull(&control, peer, &shared.versions, &shared.metrics).await;
-                    pulling.set(false);
-                });
-            }
-            Report::Newer(_) => {}
-            Report::Drained => drained += 1,
-        }
-        if drained == threads {
-            return;
-        }
-    }
-}
-
-async fn drain(
-    stop: oneshot::Receiver<()>,
-    shared: Arc<Shared>,
-    traffic: Vec<mpsc::Sender<Command>>,
-) {
-    // A dropped sender is an order to stop as well.
-    let _ = stop.await;
-    shared.set_state("draining");
-    spdlog::info!("draining");
-    for queue in &traffic {
-        let _ = queue.send(Command::Drain).await;
-    }
-}
-
 async fn read_live(platform: Platform, shared: Arc<Shared>, traffic: Vec<mpsc::Sender<Command>>) {
     loop {
         sleep(LIVE.mul_f64(rand::rng().random_range(0.5..1.0))).await;
--- a/daemon/src/process/daemon.rs
+++ b/daemon/src/process/daemon.rs
@@ -14,15 +14,14 @@
 use super::bridge::QUEUE;
 use super::bridge::Report;
 use super::bridge::Traffic;
+use super::bridge::TrafficOptions;
 use super::clock::Clock;
 use super::control;
 use super::metrics::Metrics;
 use super::settings::Role;
 use super::settings::Settings;
 use crate::connection::agent;
-use crate::connection::agent::AgentOptions;
 use crate::connection::entry;
-use crate::connection::entry::EntryOptions;
 use crate::connection::link::Link;
 use crate::request::backend::Backend;
 use crate::version::versions::Versions;
@@ -81,6 +80,7 @@
             traffic: queues,
             reports: carried,
             stop: stopped,
+            clock,
             started,
         };
         threads.push(spawn_control(name.clone(), options)?);
@@ -188,14 +188,12 @@
     let (me, run) = (settings.name, clock.incarnation());
     let (control, drain) = (settings.control, settings.drain);
     let reports = traffic.reports.clone();
+    let options = TrafficOptions { me, run, control, drain, clock, metrics };
     let ended = match settings.role {
-        Role::Entry { .. } => {
-            let options = EntryOptions { me, run, control, drain, clock, metrics };
-            entry::run(options, link, traffic).await
-        }
+        Role::Entry { .. } => entry::run(options, link, traffic).await,
         Role::Agent { backend, .. } => {
-            let backend = Backend::connect(settings.link.ip(), backend, metrics.clone()).await?;
-            let options = AgentOptions { me, run, control, drain, clock, metrics };
+            let backend =
+                Backend::connect(settings.link.ip(), backend, options.metrics.clone()).await?;
             agent::run(options, link, backend, traffic).await
         }
     };
--- a/daemon/src/process/mod.rs
+++ b/daemon/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod bridge;
+pub mod carrier;
 pub mod clock;
 pub mod control;
 pub mod daemon;
--- a/lib/src/process/life.rs
+++ b/lib/src/process/life.rs
@@ -33,6 +33,39 @@
     since: Moment,
 }
 
+/// A state of the life cycle, by the name that operators see.
+pub trait State {
+    /// The name.
+    const NAME: &'static str;
+}
+
+impl State for Starting {
+    const NAME: &'static str = "starting";
+}
+
+impl State for Recovering {
+    const NAME: &'static str = "recovering";
+}
+
+impl State for Serving {
+    const NAME: &'static str = "serving";
+}
+
+impl State for Draining {
+    const NAME: &'static str = "draining";
+}
+
+impl State for Stopped {
+    const NAME: &'static str = "stopped";
+}
+
+impl<S: State> Life<S> {
+    /// Returns the name of the state.
+    pub fn name(&self) -> &'static str {
+        S::NAME
+    }
+}
+
 impl<S> Life<S> {
     /// Returns when the state was entered.
     pub fn since(&self) -> Moment {
@@ -61,11 +94,6 @@
     pub fn serve(self, now: Moment) -> Life<Serving> {
         self.step(Serving, now)
     }
-
-    /// Stops before any work was taken.
-    pub fn abort(self, now: Moment) -> Life<Stopped> {
-        self.step(Stopped, now)
-    }
 }
 
 impl Life<Serving> {
--- /dev/null
+++ b/lib/src/request/lending.rs
@@ -0,0 +1,50 @@
+//! The choice of a peer that serves a request instead of this agent.
+
+use std::time::Duration;
+
+use super::budget::Budget;
+use crate::process::context::Context;
+use crate::process::name::Name;
+use crate::process::reason::Reason;
+
+/// Gain in completion time that makes up for handing work to a peer.
+const MARGIN: Duration = Duration::from_millis(2);
+
+/// Lending by expected completion, and retries within a budget.
+#[derive(Clone, Debug)]
+pub struct Lending {
+    budget: Budget,
+}
+
+impl Lending {
+    /// Opens with a full retry budget.
+    pub fn open() -> Self {
+        Self { budget: Budget::open() }
+    }
+
+    /// Earns budget for one request.
+    pub fn earn(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Returns a peer that would be done clearly sooner than `mine`, the time
+    /// that this agent would need; any peer that takes work if there is none.
+    pub fn sooner(&self, context: &mut Context, mine: Option<Duration>) -> Option<Name> {
+        let names = context.candidates();
+        let (peer, theirs) = context.peers.better_of_two(&names, &mut context.rng)?;
+        let theirs = Duration::from_micros(theirs) + MARGIN;
+        mine.is_none_or(|mine| theirs < mine).then_some(peer)
+    }
+
+    /// Returns a peer to retry idempotent work on, within the budget.
+    pub fn retry(&mut self, context: &mut Context) -> Option<Name> {
+        let names = context.candidates();
+        let (peer, _) = context.peers.better_of_two(&names, &mut context.rng)?;
+        if !self.budget.spend() {
+            context.count(Reason::RetryBudget);
+            return None;
+        }
+        context.count(Reason::RetryElsewhere);
+        Some(peer)
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod grant;
 pub mod key;
+pub mod lending;
 pub mod message;
 pub mod requests;
 pub mod run;
--- a/lib/src/request/requests.rs
+++ b/lib/src/request/requests.rs
@@ -8,12 +8,12 @@
 use super::answer::Code;
 use super::ballot::Ballot;
 use super::ballot::witnesses;
-use super::budget::Budget;
 use super::exchange::Exchange;
 use super::exchange::Stage;
 use super::exchanges::Exchanges;
 use super::grant::Grant;
 use super::key::RequestKey;
+use super::lending::Lending;
 use super::message::Request;
 use super::run::Asking;
 use super::run::Run;
@@ -37,15 +37,13 @@
 const GRACE: Duration = Duration::from_millis(500);
 /// Time for which a backend server that refused work is given no more.
 const SHED_PAUSE: Duration = Duration::from_millis(300);
-/// Gain in completion time that makes up for handing work to a peer.
-const LEND_MARGIN: Duration = Duration::from_millis(2);
 
 /// Request decisions of one agent.
 #[derive(Debug)]
 pub struct Requests {
     exchanges: Exchanges,
     admission: Admission,
-    budget: Budget,
+    lending: Lending,
     // Until when the backend server counts as refusing work.
     shedding: Moment,
 }
@@ -56,7 +54,7 @@
         Self {
             exchanges: Exchanges::open(run),
             admission: Admission::open(slots),
-            budget: Budget::open(),
+            lending: Lending::open(),
             shedding: Moment(0),
         }
     }
@@ -108,7 +106,7 @@
             context.count(Reason::RequestsFull);
             return;
         }
-        self.budget.earn();
+        self.lending.earn();
         let lent = pass.mode == Mode::Lend;
         if !lent && let Some(peer) = self.lender(context, &request.path, now) {
             context.count(Reason::Lent);
@@ -251,13 +249,8 @@
     // A peer that would complete the work clearly sooner, or any that takes
     // work if this agent does not.
     fn lender(&self, context: &mut Context, path: &Name, now: Moment) -> Option<Name> {
-        let names = context.candidates();
-        let (peer, theirs) = context.peers.better_of_two(&names, &mut context.rng)?;
-        if !context.takes_work() {
-            return Some(peer);
-        }
-        let mine = self.admission.completion(path, now);
-        (Duration::from_micros(theirs) + LEND_MARGIN < mine).then_some(peer)
+        let mine = context.takes_work().then(|| self.admission.completion(path, now));
+        self.lending.sooner(context, mine)
     }
 
     fn lend(
@@ -391,15 +384,7 @@
         let Some((false, pass)) = self.exchanges.get(&key).map(|e| (e.lent, e.pass.clone())) else {
             return false;
         };
-        let names = context.candidates();
-        let Some((peer, _)) = context.peers.better_of_two(&names, &mut context.rng) else {
-            return false;
-        };
-        if !self.budget.spend() {
-            context.count(Reason::RetryBudget);
-            return false;
-        }
-        context.count(Reason::RetryElsewhere);
+        let Some(peer) = self.lending.retry(context) else { return false };
         self.lend(context, key, pass, peer, now);
         true
     }
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -3,6 +3,7 @@
 //! It carries typed messages between decision cores and can drop, delay,
 //! duplicate, reorder, cut, pause and restart. The same seed gives the same run.
 
+mod call;
 mod calls;
 mod events;
 mod node;
@@ -30,10 +31,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-pub use self::calls::Call;
-pub use self::calls::Calls;
-pub use self::calls::LONG_FACTOR;
-pub use self::calls::LONG_PATH;
+pub use self::call::Call;
+pub use self::call::Calls;
+pub use self::call::LONG_FACTOR;
+pub use self::call::LONG_PATH;
 use self::events::Event;
 use self::events::Events;
 use self::node::Node;
--- a/testutils/src/world/calls.rs
+++ b/testutils/src/world/calls.rs
@@ -1,7 +1,5 @@
 //! Callers on the fake network, and what happens to what they send.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,10 +15,7 @@
 use lagoonhollow_lib::process::message::Mode;
 use lagoonhollow_lib::process::message::Pass;
 use lagoonhollow_lib::process::message::Via;
-use lagoonhollow_lib::process::moment::Moment;
 use lagoonhollow_lib::process::name::Name;
-use lagoonhollow_lib::request::answer::Answer;
-use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::key::RequestKey;
 use lagoonhollow_lib::request::message::Content;
 use lagoonhollow_lib::request::message::Method;
@@ -29,6 +24,9 @@
 use rand::Rng;
 
 use super::World;
+use super::call::Call;
+use super::call::LONG_FACTOR;
+use super::call::LONG_PATH;
 use super::events::Event;
 use super::node::content;
 
@@ -37,95 +35,6 @@
 /// Times a request is sent at most.
 const MAX_SENDS: u32 = 5;
 
-/// Path of work that takes much longer.
-pub const LONG_PATH: &str = "firmware";
-/// How many times longer it takes.
-pub const LONG_FACTOR: u32 = 40;
-
-/// One request of a caller.
-#[derive(Clone, Debug)]
-pub struct Call {
-    request: Request,
-    opens: bool,
-    /// When it was first sent.
-    pub sent: Moment,
-    /// When its first answer reached the caller.
-    pub answered: Option<Moment>,
-    /// Agents whose backend server ran it.
-    pub runs: Vec<Name>,
-    /// Answers that reached the caller.
-    pub answers: Vec<Answer>,
-}
-
-/// All requests and notifications.
-#[derive(Clone, Debug, Default)]
-pub struct Calls {
-    /// Requests by their identity.
-    pub all: BTreeMap<RequestKey, Call>,
-    /// Notifications that reached each flow.
-    pub notes: BTreeMap<FlowKey, Vec<String>>,
-    // Message IDs of notifications that were seen, as a caller keeps them.
-    seen: BTreeSet<(FlowKey, u16)>,
-    // Requests by the number in their token.
-    numbered: Vec<RequestKey>,
-    next: BTreeMap<FlowKey, u16>,
-}
-
-impl Calls {
-    /// Returns the requests that ran more than once.
-    pub fn double_runs(&self) -> Vec<RequestKey> {
-        let twice = |c: &Call| c.request.method == Method::Post && c.runs.len() > 1;
-        self.all.iter().filter(|(_, c)| twice(c)).map(|(k, _)| *k).collect()
-    }
-
-    /// Returns the requests that were refused as not run, but ran.
-    pub fn false_not_run(&self) -> Vec<RequestKey> {
-        let refused = |a: &Answer| matches!(a.code, Code::NotRun(_));
-        let wrong = |c: &Call| !c.runs.is_empty() && c.answers.iter().any(refused);
-        let posts = self.all.iter().filter(|(_, c)| c.request.method == Method::Post);
-        posts.filter(|(_, c)| wrong(c)).map(|(k, _)| *k).collect()
-    }
-
-    /// Returns the requests that were answered with another request's answer.
-    pub fn wrong_answers(&self) -> Vec<RequestKey> {
-        let text = |c: &Call| format!("done:{}", String::from_utf8_lossy(&c.request.body));
-        let wrong = |c: &Call, a: &Answer| {
-            a.token != c.request.token
-                || (a.code == Code::Content && *a.body != *text(c).as_bytes())
-        };
-        let any = |c: &Call| c.answers.iter().any(|a| wrong(c, a));
-        self.all.iter().filter(|(_, c)| any(c)).map(|(k, _)| *k).collect()
-    }
-
-    fn by_token(&mut self, token: &Token) -> Option<&mut Call> {
-        let number = u32::from_be_bytes((&*token.0).try_into().ok()?);
-        let key = self.numbered.get(number as usize)?;
-        self.all.get_mut(key)
-    }
-
-    /// Counts the calls that `fits` selects.
-    pub fn count(&self, fits: impl Fn(&Call) -> bool) -> usize {
-        self.all.values().filter(|c| fits(c)).count()
-    }
-}
-
-impl Call {
-    /// Returns whether it asked for work on `path`.
-    pub fn is_for(&self, path: &str) -> bool {
-        self.request.path.as_str() == path
-    }
-
-    /// Returns the time that its caller waited for the first answer.
-    pub fn waited(&self) -> Option<Duration> {
-        self.answered.map(|t| t.since(self.sent))
-    }
-
-    /// Returns the outcome that its caller learned first.
-    pub fn outcome(&self) -> Option<Code> {
-        self.answers.first().map(|a| a.code)
-    }
-}
-
 impl World {
     /// Returns the flow of caller number `caller` to `service`.
     pub fn flow(&self, protocol: Protocol, caller: u16, service: SocketAddr) -> FlowKey {
