Use the retired version for what it is kept for

Cause: the state Manifest<Retired> was never entered. Ruled out: dropping the state (the agent keeps the version before to learn who held its address, and may do nothing else with it). Change: a version that is replaced is retired, and only tells who held an address.

--- a/lib/src/process/context.rs
+++ b/lib/src/process/context.rs
@@ -100,10 +100,10 @@
         if manifest.version() <= self.manifest.version() {
             return false;
         }
-        let before = std::mem::replace(&mut self.manifest, manifest);
+        let before = std::mem::replace(&mut self.manifest, manifest).retire();
         let name = self.joint.current().service.clone();
         if let Some(service) = self.manifest.service(&name).cloned() {
-            if let Some(old) = before.route(service.doc.address) {
+            if let Some(old) = before.holder(service.doc.address) {
                 self.remember(&old.membership.members, &service.membership);
             }
             let dropped = self.joint.current().members.clone();
--- a/lib/src/version/manifest.rs
+++ b/lib/src/version/manifest.rs
@@ -38,9 +38,11 @@
     names: Vec<Name>,
 }
 
-/// Replaced by a later version.
+/// Replaced by a later version; it only tells who held an address.
 #[derive(Debug)]
-pub struct Retired;
+pub struct Retired {
+    routes: HashMap<SocketAddr, Arc<Service>>,
+}
 
 /// A service of the version in force.
 #[derive(Debug)]
@@ -198,9 +200,17 @@
         self.service_of(name)?.doc.backend(name.as_str())
     }
 
-    /// Takes the manifest out of force.
-    pub fn retire(self) -> Manifest<Retired> {
-        Manifest { index: self.index, docs: self.docs, state: Retired }
+    /// Returns what is left of the manifest once a later one is in force.
+    pub fn retire(&self) -> Manifest<Retired> {
+        let state = Retired { routes: self.state.routes.clone() };
+        Manifest { index: self.index.clone(), docs: BTreeMap::new(), state }
+    }
+}
+
+impl Manifest<Retired> {
+    /// Returns the service that held `address`.
+    pub fn holder(&self, address: SocketAddr) -> Option<&Arc<Service>> {
+        self.state.routes.get(&address)
     }
 }
 
