Test the encodings; draw the same values on every run

Ruled out: fixed examples only (they would not have tried odd bytes). Change: round trips, forged and arbitrary bytes; drawn values come from one seed in testutils.

--- a/lib/tests/at_most_once.rs
+++ b/lib/tests/at_most_once.rs
@@ -12,10 +12,10 @@
 use lagoonhollow_lib::process::safeguard::Safeguard;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_testutils::docs;
+use lagoonhollow_testutils::property::holds_times;
 use lagoonhollow_testutils::world::World;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
-use quickcheck::QuickCheck;
 use quickcheck::TestResult;
 use rand::Rng;
 use rand::SeedableRng;
@@ -267,11 +267,10 @@
 
 #[test]
 fn reports_run_at_most_once_in_drawn_plans() {
-    fn holds(plan: Plan) -> TestResult {
+    fn property(plan: Plan) -> TestResult {
         TestResult::from_bool(plan.run(None).is_empty())
     }
-    let draw = Gen::from_size_and_seed(100, 20_261_204);
-    QuickCheck::new().rng(draw).tests(200).quickcheck(holds as fn(Plan) -> TestResult);
+    holds_times(200, property as fn(Plan) -> TestResult);
 }
 
 #[test]
--- a/lib/tests/ranks.rs
+++ b/lib/tests/ranks.rs
@@ -3,7 +3,7 @@
 use lagoonhollow_lib::version::backend::Backend;
 use lagoonhollow_lib::version::rank::Ranking;
 use lagoonhollow_testutils::docs;
-use quickcheck::quickcheck;
+use lagoonhollow_testutils::property::holds;
 
 const KEYS: u64 = 20_000;
 
@@ -16,8 +16,9 @@
     (0..KEYS).map(|key| ranking.home(key).unwrap()).collect()
 }
 
-quickcheck! {
-    fn ranks_are_a_permutation_that_starts_with_the_home(key: u64, count: u8) -> bool {
+#[test]
+fn ranks_are_a_permutation_that_starts_with_the_home() {
+    fn property(key: u64, count: u8) -> bool {
         let count = 1 + u16::from(count) % 50;
         let ranking = Ranking::open(&members(count));
         let ranks = ranking.first(key, usize::from(count));
@@ -26,8 +27,12 @@
         ranks.first().copied() == ranking.home(key)
             && sorted == (0..usize::from(count)).collect::<Vec<_>>()
     }
+    holds(property as fn(u64, u8) -> bool);
+}
 
-    fn leaving_moves_only_the_flows_of_the_one_that_left(key: u64, count: u8, left: u8) -> bool {
+#[test]
+fn leaving_moves_only_the_flows_of_the_one_that_left() {
+    fn property(key: u64, count: u8, left: u8) -> bool {
         let count = 2 + u16::from(count) % 20;
         let all = members(count);
         let left = usize::from(left) % all.len();
@@ -37,6 +42,7 @@
         let after = &rest[Ranking::open(&rest).home(key).unwrap()].name;
         before == &gone.name || before == after
     }
+    holds(property as fn(u64, u8, u8) -> bool);
 }
 
 #[test]
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fleet;
 pub mod hosts;
 pub mod platform;
+pub mod property;
 pub mod world;
--- /dev/null
+++ b/wire/tests/encodings.rs
@@ -0,0 +1,123 @@
+//! What is encoded is decoded again, and other bytes are refused.
+
+use std::time::Duration;
+
+use lagoonhollow_lib::process::incarnation::Incarnation;
+use lagoonhollow_lib::process::message::Envelope;
+use lagoonhollow_lib::process::message::Message;
+use lagoonhollow_lib::request::answer::Answer;
+use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::request::message::Block;
+use lagoonhollow_lib::request::message::Content;
+use lagoonhollow_lib::request::message::Method;
+use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::request::token::Token;
+use lagoonhollow_testutils::property::holds;
+use lagoonhollow_wire::backend;
+use lagoonhollow_wire::caller;
+use lagoonhollow_wire::coap::CoapError;
+use lagoonhollow_wire::control;
+use lagoonhollow_wire::control::Call;
+use lagoonhollow_wire::seal::FleetKey;
+use lagoonhollow_wire::seal::SealError;
+
+fn request(id: u16, body: &[u8]) -> Request {
+    Request {
+        id,
+        token: Token([1, 2, 3].as_slice().into()),
+        method: Method::Post,
+        path: "a/report".into(),
+        observe: None,
+        block: Some(Block { number: 5, more: true, size: 2 }),
+        body: body.into(),
+    }
+}
+
+fn envelope(to: &str) -> Envelope {
+    let (from, to, run) = ("a".into(), to.into(), Incarnation(7));
+    Envelope { from, run, to, version: 3, message: Message::Credit }
+}
+
+#[test]
+fn requests_come_back() {
+    fn property(id: u16, body: Vec<u8>) -> bool {
+        let body = &body[..body.len().min(1_000)];
+        let request = request(id, body);
+        let raw = caller::encode_request(&request).unwrap();
+        caller::decode(&raw) == Ok(Content::Request(request))
+    }
+    holds(property as fn(u16, Vec<u8>) -> bool);
+}
+
+#[test]
+fn runs_come_back_under_their_number() {
+    fn property(id: u64, body: Vec<u8>, ms: u32) -> bool {
+        let body = &body[..body.len().min(1_000)];
+        let left = Duration::from_millis(ms.into());
+        let raw = backend::encode_run(id, &request(1, body), left).unwrap();
+        let (number, run, deadline) = backend::decode_run(&raw).unwrap();
+        number == id && *run.body == *body && deadline == Some(left)
+    }
+    holds(property as fn(u64, Vec<u8>, u32) -> bool);
+}
+
+#[test]
+fn answers_come_back_under_their_number() {
+    fn property(id: u64, body: Vec<u8>) -> bool {
+        let body = &body[..body.len().min(1_000)];
+        let mut answer = Answer::bare(Token(id.to_be_bytes().as_slice().into()), Code::Changed);
+        answer.body = body.into();
+        backend::decode(&backend::encode(id, &answer).unwrap()) == Ok((id, answer))
+    }
+    holds(property as fn(u64, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_changed_byte_is_forged() {
+    fn property(at: usize, change: u8) -> bool {
+        let key = FleetKey::open([9; 32]);
+        let mut sealed = key.seal(&envelope("b")).unwrap();
+        let at = at % sealed.len();
+        sealed[at] ^= change.max(1);
+        key.unseal(&sealed) == Err(SealError::Forged)
+    }
+    holds(property as fn(usize, u8) -> bool);
+}
+
+#[test]
+fn any_bytes_are_refused_and_nothing_panics() {
+    fn property(bytes: Vec<u8>) -> bool {
+        let key = FleetKey::open([9; 32]);
+        let _ = caller::decode(&bytes);
+        let _ = caller::decode_answer(&bytes);
+        let _ = backend::decode(&bytes);
+        let _ = control::decode::<Call>(&bytes);
+        key.unseal(&bytes).is_err()
+    }
+    holds(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn another_fleets_key_opens_nothing() {
+    let sealed = FleetKey::open([1; 32]).seal(&envelope("b")).unwrap();
+    assert_eq!(FleetKey::open([2; 32]).unseal(&sealed), Err(SealError::Forged));
+    let opened = FleetKey::open([1; 32]).unseal(&sealed);
+    assert_eq!(opened, Ok(envelope("b")));
+}
+
+#[test]
+fn refusals_say_why_to_the_caller() {
+    use lagoonhollow_lib::process::reason::Reason;
+    let answer = Answer::bare(Token::default(), Code::NotRun(Reason::Deadline));
+    let raw = caller::encode_answer(9, &answer).unwrap();
+    let (id, confirm, read) = caller::decode_answer(&raw).unwrap();
+    assert_eq!((id, confirm), (9, false));
+    assert_eq!(&*read.body, b"not run: deadline");
+    assert!(matches!(read.code, Code::NotRun(_)));
+}
+
+#[test]
+fn a_request_that_outgrows_a_datagram_is_an_error() {
+    let raw = caller::encode_request(&request(1, &[0; 2_000]));
+    assert_eq!(raw, Err(CoapError::TooLong));
+}
