Prove that a leaving backend server gets no new work after 3 s

Cause: docs/PROOFS.md listed it as not proved. Ruled out: timing it on processes (no timed bounds over real sockets). Change: a seeded test of drains by manifest and by the backend server's own word, with new and established flows. Conclusion: holds in virtual time.

--- a/lib/tests/flows.rs
+++ b/lib/tests/flows.rs
@@ -229,3 +229,38 @@
     }
     fleet.assert_whole("rolling replacement");
 }
+
+#[test]
+fn a_leaving_backend_server_gets_no_new_work_after_three_seconds() {
+    for by_manifest in [true, false] {
+        for seed in 0..8 {
+            let mut fleet = Fleet::open(seed);
+            let docs = fleet.world.docs();
+            let leaving = docs[0].backends[1].name.clone();
+            if by_manifest {
+                let mut docs = docs.clone();
+                docs[0].backends[1].drain = true;
+                fleet.publish(docs);
+            } else {
+                fleet.world.drain(&leaving);
+            }
+            fleet.world.run(SECOND * 3);
+            let mut keys = Vec::new();
+            for i in 0..120 {
+                // New flows, and established ones of which some are owned there.
+                let new = fleet.world.flow(Protocol::Udp, 500 + i, docs[0].address);
+                let old = fleet.flows[usize::from(i) % fleet.flows.len()];
+                keys.push(fleet.world.post(new, "report"));
+                keys.push(fleet.world.get(old, "level"));
+                fleet.world.run(SECOND / 50);
+            }
+            fleet.world.run(SECOND * 8);
+            for key in keys {
+                let runs = &fleet.world.calls.all[&key].runs;
+                assert_eq!(runs.len(), 1, "seed {seed}: {key:?} ran on {runs:?}");
+                assert_ne!(runs[0], leaving, "seed {seed}: {key:?}");
+            }
+            fleet.assert_whole(&format!("leaving, seed {seed}"));
+        }
+    }
+}
