Prove that a backend server dropped and added again breaks no flow

Ruled out: nothing; it passes as the code stands. Change: a seeded test that drops one and adds it after 0, 250 ms and 5 s.

--- a/lib/tests/flows.rs
+++ b/lib/tests/flows.rs
@@ -264,3 +264,21 @@
         }
     }
 }
+
+#[test]
+fn a_backend_server_dropped_and_added_again_breaks_no_flow() {
+    for seed in 0..8 {
+        for pause in [Duration::ZERO, SECOND / 4, SECOND * 5] {
+            let mut fleet = Fleet::open(seed);
+            let before = fleet.world.docs();
+            let mut without = before.clone();
+            without[0].backends.remove(1);
+            fleet.publish(without);
+            fleet.use_flows();
+            fleet.world.run(pause);
+            fleet.publish(before);
+            fleet.use_flows();
+            fleet.assert_whole(&format!("dropped for {pause:?}, seed {seed}"));
+        }
+    }
+}
