Remove code that nothing calls

Ruled out: folding the pairs of places that share lines (the argument lists of two methods that take the same message parts, and a forwarding method beside its target): their logic is not the same. Platform::set_slow and set_stale stay, as the stand-in's switches. Conclusion: behaviour is unchanged.

--- a/lib/src/connection/flows.rs
+++ b/lib/src/connection/flows.rs
@@ -1,6 +1,5 @@
 //! The flows that one agent owns, and those it knows the owner of.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -233,11 +232,6 @@
         claims
     }
 
-    /// Returns the owned flows that a planned stop has to hand over.
-    pub fn pinned(&self) -> BTreeSet<FlowKey> {
-        self.owned.iter().filter(|(_, o)| o.pins > 0).map(|(f, _)| *f).collect()
-    }
-
     /// Returns the numbers of owned flows, redirects and lookups.
     pub fn counts(&self) -> (usize, usize, usize) {
         (self.owned.len(), self.redirects.len(), self.lookups.len())
--- a/lib/src/process/agent.rs
+++ b/lib/src/process/agent.rs
@@ -211,11 +211,6 @@
         self.context.peers.notice(&notice.agent, notice.down);
     }
 
-    /// Takes in that an entry is leaving.
-    pub fn entry_lost(&mut self, entry: &Name) {
-        self.context.lost(entry);
-    }
-
     /// Does what is due by time.
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         for peer in self.context.peers.sweep(now) {
--- a/lib/src/process/context.rs
+++ b/lib/src/process/context.rs
@@ -191,11 +191,6 @@
         self.entries.truncate(MAX_ENTRIES);
     }
 
-    /// Forgets a way back that leads nowhere.
-    pub fn lost(&mut self, entry: &Name) {
-        self.entries.retain(|e| e.entry != *entry);
-    }
-
     /// Returns an entry other than `not`, or `not` if no other is known.
     pub fn other_entry(&mut self, not: &Via) -> Via {
         let others: Vec<_> = self.entries.iter().filter(|e| *e != not).collect();
--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -150,11 +150,6 @@
         self.costs.typical()
     }
 
-    /// Returns the numbers of queued and running pieces of work.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.short.len() + self.long.len(), self.running.len())
-    }
-
     fn wait(&self, path: &Name, deadline: Moment, now: Moment) -> Duration {
         if self.costs.is_long(path) {
             self.wait_long(deadline, now)
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -11,7 +11,6 @@
 use crate::process::message::Message;
 use crate::process::message::Mode;
 use crate::process::message::Pass;
-use crate::process::moment::Moment;
 use crate::process::name::Name;
 use crate::process::reason::Reason;
 
@@ -37,8 +36,6 @@
     pub stage: Stage,
     /// Its last transmission.
     pub pass: Pass,
-    /// When it was first seen.
-    pub since: Moment,
     /// Whether it was handed over by a peer, and so is not handed on.
     pub lent: bool,
 }
--- a/lib/src/request/exchanges.rs
+++ b/lib/src/request/exchanges.rs
@@ -83,7 +83,7 @@
     pub fn insert(&mut self, key: RequestKey, stage: Stage, pass: Pass, now: Moment) {
         self.mark(key, &stage);
         let lent = pass.mode == Mode::Lend;
-        let exchange = Exchange { stage, pass, since: now, lent };
+        let exchange = Exchange { stage, pass, lent };
         if self.all.insert(key, exchange).is_none() {
             self.order.push_back((now, key));
         }
