--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -6,9 +6,8 @@
 use std::sync::Arc;
 
 use gumdrop::Options;
-use lagoonhollow_daemon::process::settings::Role;
-use lagoonhollow_daemon::process::settings::Settings;
-use lagoonhollow_daemon::process::settings::SettingsError;
+use lagoonhollow_daemon::process::configuration::Configuration;
+use lagoonhollow_daemon::process::reader::SettingsError;
 use lagoonhollow_daemon::process::status::Explanation;
 use lagoonhollow_daemon::process::status::Status;
 use lagoonhollow_lib::version::doc::Doc;
@@ -122,13 +121,9 @@
 }
 
 fn check_settings(file: &Path) -> Outcome {
-    match Settings::open(file) {
+    match Configuration::open(file) {
         Ok(settings) => {
-            let role = match settings.role {
-                Role::Entry { .. } => "entry",
-                Role::Agent { .. } => "agent",
-            };
-            let name = settings.name.as_str();
+            let (role, name) = (settings.role(), settings.name().as_str());
             let text = format!("{}: right, for the {role} {name}", file.display());
             Outcome::done(text, &json!({ "role": role, "name": name }))
         }
--- a/cli/src/report.rs
+++ b/cli/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use lagoonhollow_lib::version::findings::Findings;
+use lagoonhollow_lib::value::findings::Findings;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
--- a/daemon/src/connection/link.rs
+++ b/daemon/src/connection/link.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::message::Message;
-use lagoonhollow_lib::process::name::Name;
-use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_wire::seal::FleetKey;
 use lagoonhollow_wire::seal::SealError;
 use tokio::net::UdpSocket;
--- a/daemon/src/connection/mod.rs
+++ b/daemon/src/connection/mod.rs
@@ -6,3 +6,4 @@
 pub mod identity;
 pub mod link;
 pub mod listener;
+pub mod packet;
--- /dev/null
+++ b/daemon/src/connection/packet/agent.rs
@@ -0,0 +1,186 @@
+//! The traffic thread of an agent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonhollow_lib::front::packet::agent::Agent;
+use lagoonhollow_lib::front::packet::desk::Identity;
+use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_platform::packet;
+use lagoonhollow_platform::packet::Sender;
+use lagoonhollow_wire::relay;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use super::outlet::Outlet;
+use crate::process::packet::bridge::Command;
+use crate::process::packet::bridge::Report;
+use crate::process::packet::bridge::Traffic;
+use crate::process::packet::settings::PacketSettings;
+
+/// Time between two rounds of what is due by time, while something waits.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Time between two rounds while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+/// Packets read before anything else is looked at.
+const BATCH: usize = 32;
+
+/// The sockets of an agent.
+#[derive(Debug)]
+pub struct Sockets {
+    link: UdpSocket,
+    outbound: UdpSocket,
+    backend: UdpSocket,
+}
+
+/// Binds the sockets of an agent.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn bind(
+    settings: &PacketSettings,
+    backend: SocketAddr,
+    outbound: SocketAddr,
+) -> io::Result<Sockets> {
+    let link = UdpSocket::bind(settings.link).await?;
+    let outbound = UdpSocket::bind(outbound).await?;
+    // A connected socket is told when nobody takes packets at the address.
+    let socket = UdpSocket::bind(SocketAddr::new(settings.link.ip(), 0)).await?;
+    socket.connect(backend).await?;
+    Ok(Sockets { link, outbound, backend: socket })
+}
+
+/// Runs the traffic thread until a planned stop is complete.
+///
+/// # Errors
+///
+/// Returns an error if a socket fails.
+pub async fn run(
+    settings: &PacketSettings,
+    backend: SocketAddr,
+    service: Name,
+    sockets: Sockets,
+    traffic: Traffic,
+) -> io::Result<()> {
+    let Traffic { mut commands, reports, mut view, clock, metrics, recorder, drain } = traffic;
+    let Sockets { link, outbound, backend: socket } = sockets;
+    let me = Identity {
+        link: settings.link,
+        domain: settings.domain.clone(),
+        run: clock.incarnation(),
+        backend,
+        service,
+        first_start: settings.first_start,
+    };
+    let mut agent = Agent::open(me, clock.now());
+    let port = settings.callers.port();
+    let mut outlet = Outlet {
+        link,
+        backend: Some(socket),
+        port,
+        reports: reports.clone(),
+        metrics: metrics.clone(),
+        recorder,
+    };
+    let mut buffer = vec![0; relay::MAX_DATAGRAM];
+    let mut due = Instant::now();
+    let mut stop = None;
+    agent.enforce(view.borrow_and_update().clone(), clock.now());
+    loop {
+        tokio::select! {
+            ready = outlet.link.readable() => {
+                ready?;
+                for _ in 0..BATCH {
+                    let Ok((length, from)) = outlet.link.try_recv_from(&mut buffer) else { break };
+                    take(&mut agent, from, &buffer[..length], &metrics, clock.now());
+                }
+            }
+            ready = outbound.readable() => {
+                ready?;
+                for _ in 0..BATCH {
+                    let Ok((length, _)) = outbound.try_recv_from(&mut buffer) else { break };
+                    metrics.received.inc();
+                    match packet::decode(&buffer[..length], Sender::Backend) {
+                        Some(packet) => agent.backend_packet(packet, clock.now()),
+                        None => metrics.count(Reason::Malformed),
+                    }
+                }
+            }
+            refused = refused(&outlet) => {
+                if refused {
+                    agent.backend_refused(clock.now());
+                    agent.tick(clock.now());
+                }
+            }
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                agent.enforce(view.borrow_and_update().clone(), clock.now());
+            }
+            command = commands.recv() => match command {
+                Some(Command::Explain { flow, reply }) => {
+                    // Nobody waits if the question took too long.
+                    let _ = reply.send(agent.owner(&flow));
+                }
+                Some(Command::Drain) => {
+                    agent.leave(clock.now());
+                    stop = Some(Instant::now() + drain);
+                }
+                None => return Ok(()),
+            },
+            _ = sleep_until(due) => {
+                let now = clock.now();
+                agent.tick(now);
+                outlet.recorder.renew(now);
+                metrics.add(agent.tally());
+                metrics.flows.set(agent.flows() as i64);
+                metrics.records.set(agent.records() as i64);
+                due = Instant::now() + IDLE_TICK;
+            }
+        }
+        let steps = agent.take_steps();
+        outlet.perform(steps, agent.known(), clock.now());
+        if agent.is_waiting() {
+            due = due.min(Instant::now() + BUSY_TICK);
+        }
+        if stop.is_some_and(|at| Instant::now() >= at) {
+            let _ = reports.send(Report::Drained).await;
+            return Ok(());
+        }
+    }
+}
+
+fn take(
+    agent: &mut Agent,
+    from: SocketAddr,
+    bytes: &[u8],
+    metrics: &crate::process::packet::metrics::PacketMetrics,
+    now: lagoonhollow_lib::value::moment::Moment,
+) {
+    let Ok((known, message, raw)) = relay::decode(bytes) else {
+        metrics.count(Reason::Malformed);
+        return;
+    };
+    let packet = if raw.is_empty() { None } else { packet::decode(raw, Sender::Caller) };
+    if packet.is_none() && !raw.is_empty() {
+        metrics.count(Reason::Malformed);
+        return;
+    }
+    agent.message(from, known, message, packet, now);
+}
+
+/// Waits for word from the backend server's address; returns whether it
+/// refuses packets.
+async fn refused(outlet: &Outlet) -> bool {
+    let Some(socket) = &outlet.backend else { return std::future::pending().await };
+    let mut buffer = [0; 1];
+    match socket.recv(&mut buffer).await {
+        Ok(_) => false,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    }
+}
--- /dev/null
+++ b/daemon/src/connection/packet/entry.rs
@@ -0,0 +1,122 @@
+//! The traffic thread of an entry.
+
+use std::io;
+use std::time::Duration;
+
+use lagoonhollow_lib::front::packet::entry::Entry;
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_platform::packet;
+use lagoonhollow_platform::packet::Sender;
+use lagoonhollow_wire::relay;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use super::outlet::Outlet;
+use crate::process::packet::bridge::Command;
+use crate::process::packet::bridge::Report;
+use crate::process::packet::bridge::Traffic;
+use crate::process::packet::settings::PacketSettings;
+
+/// Time between two rounds of what is due by time, while something waits.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Time between two rounds while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Packets read before anything else is looked at.
+const BATCH: usize = 32;
+
+/// The sockets of an entry.
+#[derive(Debug)]
+pub struct Sockets {
+    callers: UdpSocket,
+    link: UdpSocket,
+}
+
+/// Binds the sockets of an entry.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn bind(settings: &PacketSettings) -> io::Result<Sockets> {
+    let callers = UdpSocket::bind(settings.callers).await?;
+    let link = UdpSocket::bind(settings.link).await?;
+    Ok(Sockets { callers, link })
+}
+
+/// Runs the traffic thread until a planned stop is complete.
+///
+/// # Errors
+///
+/// Returns an error if a socket fails.
+pub async fn run(settings: &PacketSettings, sockets: Sockets, traffic: Traffic) -> io::Result<()> {
+    let Traffic { mut commands, reports, mut view, clock, metrics, recorder, drain } = traffic;
+    let Sockets { callers, link } = sockets;
+    let mut entry = Entry::open(settings.domain.clone(), settings.link.port(), clock.now());
+    let port = settings.callers.port();
+    let metrics_too = metrics.clone();
+    let mut outlet =
+        Outlet { link, backend: None, port, reports: reports.clone(), metrics, recorder };
+    let metrics = metrics_too;
+    let mut buffer = vec![0; relay::MAX_DATAGRAM];
+    let mut due = Instant::now();
+    let mut stop = None;
+    entry.enforce(view.borrow_and_update().clone());
+    loop {
+        tokio::select! {
+            ready = callers.readable() => {
+                ready?;
+                for _ in 0..BATCH {
+                    let Ok((length, _)) = callers.try_recv_from(&mut buffer) else { break };
+                    metrics.received.inc();
+                    match packet::decode(&buffer[..length], Sender::Caller) {
+                        Some(packet) => entry.packet(packet, clock.now()),
+                        None => metrics.count(Reason::Malformed),
+                    }
+                }
+            }
+            ready = outlet.link.readable() => {
+                ready?;
+                for _ in 0..BATCH {
+                    let Ok((length, from)) = outlet.link.try_recv_from(&mut buffer) else { break };
+                    match relay::decode(&buffer[..length]) {
+                        Ok((known, message, _)) => entry.message(from, known, message, clock.now()),
+                        Err(_) => metrics.count(Reason::Malformed),
+                    }
+                }
+            }
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                entry.enforce(view.borrow_and_update().clone());
+            }
+            command = commands.recv() => match command {
+                Some(Command::Explain { flow, reply }) => {
+                    // Nobody waits if the question took too long.
+                    let _ = reply.send(entry.hint(&flow));
+                }
+                // The fabric stops handing packets here once it sees that the
+                // entry is not ready, so everything is served until then.
+                Some(Command::Drain) => stop = Some(Instant::now() + drain),
+                None => return Ok(()),
+            },
+            _ = sleep_until(due) => {
+                let now = clock.now();
+                entry.tick(now);
+                outlet.recorder.renew(now);
+                metrics.add(entry.tally());
+                metrics.flows.set(entry.hints() as i64);
+                due = Instant::now() + IDLE_TICK;
+            }
+        }
+        let steps = entry.take_steps();
+        outlet.perform(steps, entry.known(), clock.now());
+        if entry.is_waiting() {
+            due = due.min(Instant::now() + BUSY_TICK);
+        }
+        if stop.is_some_and(|at| Instant::now() >= at) {
+            let _ = reports.send(Report::Drained).await;
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/connection/packet/mod.rs
@@ -0,0 +1,5 @@
+//! Traffic threads of the packet front end.
+
+pub mod agent;
+pub mod entry;
+pub mod outlet;
--- /dev/null
+++ b/daemon/src/connection/packet/outlet.rs
@@ -0,0 +1,91 @@
+//! Doing what decisions ask for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lagoonhollow_lib::connection::segment::Packet;
+use lagoonhollow_lib::front::packet::message::Known;
+use lagoonhollow_lib::front::packet::step::Step;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_platform::packet;
+use lagoonhollow_wire::relay;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::process::packet::bridge::Report;
+use crate::process::packet::metrics::PacketMetrics;
+use crate::process::packet::recorder::Recorder;
+
+/// The sockets that a traffic thread sends on.
+#[derive(Debug)]
+pub struct Outlet {
+    /// Datagrams to other processes and to callers.
+    pub link: UdpSocket,
+    /// Packets to the backend server, for an agent.
+    pub backend: Option<UdpSocket>,
+    /// Port on which callers take packets.
+    pub port: u16,
+    /// Reports to the control thread.
+    pub reports: mpsc::Sender<Report>,
+    /// The metrics.
+    pub metrics: Arc<PacketMetrics>,
+    /// Where decisions are written down.
+    pub recorder: Recorder,
+}
+
+impl Outlet {
+    /// Does all `steps` of a process that knows `known`.
+    pub fn perform(&mut self, steps: Vec<Step>, known: Known, now: Moment) {
+        for step in steps {
+            match step {
+                Step::Send { to, message, packet } => {
+                    let raw = packet.as_ref().map_or(&[][..], |p| &p.raw);
+                    let Ok(bytes) = relay::encode(known, &message, raw) else {
+                        self.metrics.count(Reason::Malformed);
+                        continue;
+                    };
+                    if raw.is_empty() {
+                        self.metrics.told.inc();
+                        self.metrics.told_bytes.inc_by(bytes.len() as u64);
+                    } else {
+                        self.metrics.passed.inc();
+                    }
+                    self.send(&bytes, to);
+                }
+                Step::Backend(packet) => self.to_backend(&packet),
+                Step::Caller(packet) => {
+                    let caller = SocketAddr::new(packet.segment.flow.caller.ip(), self.port);
+                    self.metrics.sent.inc();
+                    self.send(&packet.raw, caller);
+                }
+                Step::Reset { flow, seq } => {
+                    let caller = SocketAddr::new(flow.caller.ip(), self.port);
+                    self.metrics.resets.inc();
+                    self.send(&packet::reset(&flow, seq), caller);
+                }
+                Step::Behind { peer, known } => {
+                    if self.reports.try_send(Report::Behind { peer, known }).is_err() {
+                        self.metrics.count(Reason::ChannelFull);
+                    }
+                }
+                Step::Record(event) => self.recorder.record(&event, known, now),
+            }
+        }
+    }
+
+    // A datagram that can't be sent is lost like any other.
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        if self.link.try_send_to(bytes, to).is_err() {
+            self.metrics.count(Reason::ChannelFull);
+        }
+    }
+
+    fn to_backend(&self, packet: &Packet) {
+        let Some(socket) = &self.backend else { return };
+        self.metrics.sent.inc();
+        if socket.try_send(&packet.raw).is_err() {
+            self.metrics.count(Reason::ChannelFull);
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,17 +1,23 @@
 //! The lagoonhollow daemon.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use gumdrop::Options;
+use lagoonhollow_daemon::process::configuration::Configuration;
 use lagoonhollow_daemon::process::daemon::Daemon;
 use lagoonhollow_daemon::process::log;
-use lagoonhollow_daemon::process::settings::Settings;
+use lagoonhollow_daemon::process::packet::daemon::PacketDaemon;
+use lagoonhollow_daemon::process::reader;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
 /// Exit code for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
+/// Time between two looks at the settings file.
+const RELOAD: Duration = Duration::from_secs(5);
 /// Exit code for a process that could not be started.
 const NOT_STARTED: u8 = 1;
 
@@ -36,14 +42,14 @@
         eprintln!("lagoonhollowd: --settings FILE is missing");
         return ExitCode::from(BAD_SETTINGS);
     };
-    let settings = match Settings::open(&path) {
+    let settings = match Configuration::open(&path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match run(settings) {
+    match run(&path, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("lagoonhollowd: {error}");
@@ -52,20 +58,59 @@
     }
 }
 
-fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
-    log::open(settings.level)?;
-    let mut daemon = Daemon::spawn(settings)?;
+fn run(path: &Path, settings: Configuration) -> Result<(), Box<dyn std::error::Error>> {
+    log::open(settings.level())?;
+    match settings {
+        Configuration::Coap(settings) => {
+            let mut daemon = Daemon::spawn(settings)?;
+            wait_for_signal(path)?;
+            daemon.drain();
+            daemon.join();
+        }
+        Configuration::Packets(settings) => {
+            let mut daemon = PacketDaemon::spawn(settings)?;
+            wait_for_signal(path)?;
+            daemon.drain();
+            daemon.join();
+        }
+    }
+    Ok(())
+}
+
+/// Waits for the signal to stop; takes in changes of the settings file meanwhile.
+fn wait_for_signal(path: &Path) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        let mut hangup = signal(SignalKind::hangup())?;
+        let mut text = reader::text(path).ok();
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                // The file may also change without a signal.
+                _ = hangup.recv() => {}
+                () = tokio::time::sleep(RELOAD) => {}
+            }
+            let now = reader::text(path).ok();
+            if now.is_some() && now != text {
+                text = now;
+                reload(path);
+            }
         }
-        Ok::<_, std::io::Error>(())
-    })?;
-    daemon.drain();
-    daemon.join();
-    Ok(())
+        Ok(())
+    })
+}
+
+/// Takes in a changed settings file. The log's level applies at once; addresses
+/// and names apply at the next start.
+fn reload(path: &Path) {
+    match Configuration::open(path) {
+        Ok(settings) => {
+            log::set_level(settings.level());
+            spdlog::info!("settings_reloaded");
+        }
+        Err(error) => spdlog::error!("settings_refused", kv: { error: }),
+    }
 }
--- a/daemon/src/process/bridge.rs
+++ b/daemon/src/process/bridge.rs
@@ -7,9 +7,9 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::process::explained::Explained;
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::manifest::InForce;
 use lagoonhollow_lib::version::manifest::Manifest;
 use tokio::sync::mpsc;
--- a/daemon/src/process/carrier.rs
+++ b/daemon/src/process/carrier.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_wire::control::Call;
 use ntex::rt::spawn;
 
--- a/daemon/src/process/clock.rs
+++ b/daemon/src/process/clock.rs
@@ -4,8 +4,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use lagoonhollow_lib::process::incarnation::Incarnation;
-use lagoonhollow_lib::process::moment::Moment;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::moment::Moment;
 
 /// Unix time at the start, moved on by a clock that never steps.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/daemon/src/process/configuration.rs
@@ -0,0 +1,80 @@
+//! Settings of a daemon with either front end.
+
+use std::path::Path;
+
+use lagoonhollow_lib::value::findings::Findings;
+use lagoonhollow_lib::value::name::Name;
+
+use super::packet;
+use super::packet::settings::PacketSettings;
+use super::reader;
+use super::reader::Reader;
+use super::reader::SettingsError;
+use super::settings::Level;
+use super::settings::Role;
+use super::settings::Settings;
+
+/// Checked settings, by the front end that they name.
+#[derive(Clone, Debug)]
+pub enum Configuration {
+    /// Callers speak CoAP.
+    Coap(Settings),
+    /// Callers send packets of flows.
+    Packets(PacketSettings),
+}
+
+impl Configuration {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, or all findings in it.
+    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+        let text = reader::text(path)?;
+        let file = path.display().to_string();
+        Self::parse(&file, &text).map_err(SettingsError::Findings)
+    }
+
+    /// Checks the text of a settings file called `file`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut reader = Reader::open(file, text);
+        let known = |s: &str| matches!(s, "coap" | "packets").then(|| s.to_owned());
+        let given = reader.has("process", "front");
+        let front = reader.optional("process", "front", "coap or packets", known);
+        match front.as_deref() {
+            Some("packets") => PacketSettings::parse(file, text).map(Self::Packets),
+            Some(_) => Settings::parse(file, text).map(Self::Coap),
+            None if given => Err(reader.close::<()>(None).err().unwrap_or_default()),
+            None => Settings::parse(file, text).map(Self::Coap),
+        }
+    }
+
+    /// Returns the least severe level that is logged.
+    pub fn level(&self) -> Level {
+        match self {
+            Self::Coap(settings) => settings.level,
+            Self::Packets(settings) => settings.level,
+        }
+    }
+
+    /// Returns the name of the process.
+    pub fn name(&self) -> &Name {
+        match self {
+            Self::Coap(settings) => &settings.name,
+            Self::Packets(settings) => &settings.name,
+        }
+    }
+
+    /// Returns the role of the process.
+    pub fn role(&self) -> &'static str {
+        let entry = match self {
+            Self::Coap(settings) => matches!(settings.role, Role::Entry { .. }),
+            Self::Packets(settings) => settings.role == packet::settings::Role::Entry,
+        };
+        if entry { "entry" } else { "agent" }
+    }
+}
--- a/daemon/src/process/control.rs
+++ b/daemon/src/process/control.rs
@@ -6,7 +6,7 @@
 use lagoonhollow_lib::process::life::Draining;
 use lagoonhollow_lib::process::life::Life;
 use lagoonhollow_lib::process::life::Stopped;
-use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_wire::control::Call;
 use lagoonhollow_wire::control::Return;
 use ntex::client::Client;
--- a/daemon/src/process/daemon.rs
+++ b/daemon/src/process/daemon.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::name::Name;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
--- a/daemon/src/process/ini.rs
+++ b/daemon/src/process/ini.rs
@@ -5,7 +5,7 @@
 
 use ini_core::Item;
 use ini_core::Parser;
-use lagoonhollow_lib::version::findings::Findings;
+use lagoonhollow_lib::value::findings::Findings;
 
 /// A value with its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/daemon/src/process/log.rs
+++ b/daemon/src/process/log.rs
@@ -17,7 +17,7 @@
 #[display("can't open the log: {_0}")]
 pub struct LogError(spdlog::Error);
 
-/// Opens the process's log on standard error.
+/// Opens the process's log on standard output.
 ///
 /// # Errors
 ///
@@ -26,14 +26,22 @@
     let formatter = PatternFormatter::new(pattern!(
         "time={date}T{time}.{millisecond} level={level} event={payload} {kv}{eol}"
     ));
-    let sink = StdStreamSink::builder().stderr().formatter(formatter).build_arc()?;
-    let filter = spdlog::LevelFilter::MoreSevereEqual(match level {
+    let sink = StdStreamSink::builder().stdout().formatter(formatter).build_arc()?;
+    let logger = Logger::builder().sink(sink).level_filter(filter(level)).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Changes the least severe level that is logged.
+pub fn set_level(level: Level) {
+    spdlog::default_logger().set_level_filter(filter(level));
+}
+
+fn filter(level: Level) -> spdlog::LevelFilter {
+    spdlog::LevelFilter::MoreSevereEqual(match level {
         Level::Error => spdlog::Level::Error,
         Level::Warn => spdlog::Level::Warn,
         Level::Info => spdlog::Level::Info,
         Level::Debug => spdlog::Level::Debug,
-    });
-    let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
-    spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
+    })
 }
--- a/daemon/src/process/metrics.rs
+++ b/daemon/src/process/metrics.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::AtomicU64;
 
 use lagoonhollow_lib::process::gauges::Gauges;
-use lagoonhollow_lib::process::reason::Reason;
-use lagoonhollow_lib::process::tally::Tally;
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_lib::value::tally::Tally;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,11 +13,43 @@
 
 type Labels = [(&'static str, String); 1];
 
+/// Counters of refusals, drops and retries by reason.
+#[derive(Debug)]
+pub struct Reasons(Vec<Counter<u64, AtomicU64>>);
+
+impl Reasons {
+    /// Opens the counters in a registry, each at zero.
+    pub fn open(registry: &mut Registry) -> Self {
+        let family = Family::<Labels, Counter>::default();
+        registry.register("reasons", "Refusals, drops and retries by reason", family.clone());
+        let label = |r: Reason| [("reason", r.to_string())];
+        Self(Reason::ALL.map(|r| family.get_or_create(&label(r)).clone()).into())
+    }
+
+    /// Counts one refusal, drop or retry.
+    pub fn count(&self, reason: Reason) {
+        self.0[reason as usize].inc();
+    }
+
+    /// Adds the counts of a tally.
+    pub fn add(&self, tally: &mut Tally) {
+        for (reason, count) in tally.drain() {
+            self.0[reason as usize].inc_by(count);
+        }
+    }
+
+    /// Returns the counts that are not zero.
+    pub fn nonzero(&self) -> Vec<(Reason, u64)> {
+        let counts = Reason::ALL.into_iter().zip(self.0.iter().map(|c| c.get()));
+        counts.filter(|(_, n)| *n > 0).collect()
+    }
+}
+
 /// All metrics of a process; the handles are atomics, so counting takes no lock.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    reasons: Vec<Counter<u64, AtomicU64>>,
+    reasons: Reasons,
     /// Packets taken from callers.
     pub received: Counter,
     /// Answers and notifications sent to callers.
@@ -49,10 +81,7 @@
     /// Opens the metrics, with every reason at zero.
     pub fn open() -> Self {
         let mut registry = Registry::with_prefix("lagoonhollow");
-        let family = Family::<Labels, Counter>::default();
-        registry.register("reasons", "Refusals, drops and retries by reason", family.clone());
-        let label = |r: Reason| [("reason", r.to_string())];
-        let reasons = Reason::ALL.map(|r| family.get_or_create(&label(r)).clone());
+        let reasons = Reasons::open(&mut registry);
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -70,7 +99,7 @@
             gauge
         };
         Self {
-            reasons: reasons.into(),
+            reasons,
             received,
             answered,
             control_sent,
@@ -94,14 +123,12 @@
 
     /// Counts one refusal, drop or retry.
     pub fn count(&self, reason: Reason) {
-        self.reasons[reason as usize].inc();
+        self.reasons.count(reason);
     }
 
     /// Adds the counts of a tally.
     pub fn add(&self, tally: &mut Tally) {
-        for (reason, count) in tally.drain() {
-            self.reasons[reason as usize].inc_by(count);
-        }
+        self.reasons.add(tally);
     }
 
     /// Shows an agent's gauges.
@@ -135,8 +162,7 @@
 
     /// Returns the counts per reason that are not zero.
     pub fn reasons(&self) -> Vec<(Reason, u64)> {
-        let counts = Reason::ALL.into_iter().zip(self.reasons.iter().map(|c| c.get()));
-        counts.filter(|(_, n)| *n > 0).collect()
+        self.reasons.nonzero()
     }
 
     /// Returns all metrics in the text format that scrapers read.
--- /dev/null
+++ b/daemon/src/process/packet/admin.rs
@@ -0,0 +1,125 @@
+//! Admin HTTP: readiness, metrics, status, explanations and what the process knows.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::flow::FlowKey;
+use lagoonhollow_lib::connection::flow::Protocol;
+use lagoonhollow_lib::connection::hints::Owner;
+use ntex::web;
+use ntex::web::HttpResponse;
+use ntex::web::types::Query;
+use ntex::web::types::State;
+use serde::Deserialize;
+use tokio::sync::oneshot;
+
+use super::bridge::Command;
+use super::shared::Shared;
+use crate::process::status::Explanation;
+use crate::version::packet::exchange;
+
+/// Ranks shown in an explanation.
+const SHOWN_RANKS: usize = 4;
+/// Time that the traffic thread is given to explain.
+const EXPLAIN: Duration = Duration::from_secs(1);
+
+/// A flow as it is asked for.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct FlowQuery {
+    caller: SocketAddr,
+    service: SocketAddr,
+}
+
+/// Binds the admin server of a process.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub fn bind(shared: Arc<Shared>) -> io::Result<()> {
+    let settings = &shared.settings;
+    let addresses = [Some(settings.admin), Some(settings.link), settings.control];
+    let shared = shared.clone();
+    let app = async move || {
+        web::App::new()
+            .state(shared.clone())
+            .service(web::resource("/ready").route(web::get().to(ready)))
+            .service(web::resource("/metrics").route(web::get().to(metrics)))
+            .service(web::resource("/status").route(web::get().to(status)))
+            .service(web::resource("/explain").route(web::get().to(explain)))
+            .service(web::resource(exchange::PATH).route(web::get().to(knowledge)))
+    };
+    let mut server = web::server(app).workers(1).disable_signals();
+    for address in addresses.into_iter().flatten() {
+        server = server.bind(address)?;
+    }
+    server.run();
+    Ok(())
+}
+
+async fn ready(shared: State<Arc<Shared>>) -> HttpResponse {
+    if shared.is_ready() {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn metrics(shared: State<Arc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(shared.metrics.text())
+}
+
+async fn status(shared: State<Arc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok().json(&shared.status())
+}
+
+async fn knowledge(shared: State<Arc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok().json(&shared.knowledge.exchange())
+}
+
+async fn explain(shared: State<Arc<Shared>>, query: Query<FlowQuery>) -> HttpResponse {
+    let FlowQuery { caller, service } = *query;
+    let flow = FlowKey { protocol: Protocol::Tcp, caller, service };
+    HttpResponse::Ok().json(&explanation(&shared, flow).await)
+}
+
+async fn explanation(shared: &Shared, flow: FlowKey) -> Explanation {
+    let owner = ask_traffic(shared, flow).await;
+    let view = shared.knowledge.view();
+    let route = view.routes.route(flow.service);
+    let service = route.and_then(|r| r.service(flow.hash()));
+    let crew = service.and_then(|s| view.roster.crew(s));
+    let ranks = crew.into_iter().flat_map(|c| c.ranks(flow.hash(), SHOWN_RANKS));
+    let ranks: Vec<_> = ranks.map(|m| m.name.to_string()).collect();
+    let name = owner.map(|o| match view.roster.on_vm(o.link.ip()) {
+        Some(member) => member.name.to_string(),
+        None => o.link.to_string(),
+    });
+    let reason = match (service, ranks.first(), &name) {
+        (None, _, _) => "no route has the address".to_owned(),
+        (Some(service), None, _) => format!("{service} has no backend server"),
+        (Some(_), Some(home), Some(owner)) => {
+            format!("{owner} claimed the flow; its home is {home}")
+        }
+        (Some(_), Some(home), None) => {
+            format!("its home is {home}; this process knows no owner, so ask the home")
+        }
+    };
+    Explanation {
+        flow: format!("{} {}", flow.caller, flow.service),
+        version: view.routes.version(),
+        service: service.map(|s| s.to_string()),
+        ranks,
+        owner: name,
+        reason,
+    }
+}
+
+async fn ask_traffic(shared: &Shared, flow: FlowKey) -> Option<Owner> {
+    let (reply, answer) = oneshot::channel();
+    shared.traffic.try_send(Command::Explain { flow, reply }).ok()?;
+    tokio::time::timeout(EXPLAIN, answer).await.ok()?.ok()?
+}
--- /dev/null
+++ b/daemon/src/process/packet/control.rs
@@ -0,0 +1,114 @@
+//! The control thread of the packet front end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoonhollow_lib::process::life::Draining;
+use lagoonhollow_lib::process::life::Life;
+use lagoonhollow_lib::process::life::Stopped;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_platform::store::Store;
+use ntex::client::Client;
+use ntex::rt::spawn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use super::admin;
+use super::bridge::Command;
+use super::bridge::Report;
+use super::shared::Shared;
+use crate::version::packet::follow;
+
+/// Time beyond the drain time for the traffic thread to end.
+const DRAIN_SLACK: Duration = Duration::from_millis(500);
+/// Time between two checks for entries that did not come back.
+const CHECK: Duration = Duration::from_millis(500);
+
+/// What the control thread works with.
+pub struct Options {
+    /// What the process's threads share.
+    pub shared: Arc<Shared>,
+    /// The reports of the traffic thread.
+    pub reports: mpsc::Receiver<Report>,
+    /// The order for a planned stop.
+    pub stop: oneshot::Receiver<()>,
+    /// Where the result of the start goes.
+    pub started: std::sync::mpsc::Sender<Result<(), String>>,
+}
+
+/// Runs the control thread until a planned stop is complete.
+pub async fn run(options: Options) {
+    let Options { shared, mut reports, mut stop, started } = options;
+    let clock = shared.clock;
+    let life = Life::open(clock.now());
+    shared.enter(&life);
+    if let Err(error) = admin::bind(shared.clone()) {
+        let _ = started.send(Err(format!("can't bind the admin server: {error}")));
+        return;
+    }
+    let _ = started.send(Ok(()));
+    let life = life.recover(clock.now());
+    shared.enter(&life);
+    let store = Store::open(&shared.settings.store, follow::CALL_LIMIT).await;
+    spawn(follow::follow_routes(store.clone(), shared.clone()));
+    spawn(follow::follow_members(store, shared.clone()));
+    let client = Client::new().await;
+    let peers = shared.settings.peers.clone();
+    spawn(follow::ask_peers(client.clone(), peers, shared.clone()));
+    let life = life.serve(clock.now());
+    shared.enter(&life);
+    let Incarnation(run) = clock.incarnation();
+    spdlog::info!("started", kv: { run, first_start = shared.settings.first_start });
+    let pulling = Rc::new(Cell::new(false));
+    let mut check = interval(CHECK);
+    loop {
+        tokio::select! {
+            Some(report) = reports.recv() => match report {
+                // One read at a time is enough: peers keep showing their version.
+                Report::Behind { peer, known } if !pulling.replace(true) => {
+                    let (client, shared) = (client.clone(), shared.clone());
+                    let pulling = pulling.clone();
+                    spawn(async move {
+                        follow::catch_up(&client, peer, known, &shared).await;
+                        pulling.set(false);
+                    });
+                }
+                Report::Behind { .. } => {}
+                Report::Drained => break,
+            },
+            _ = check.tick() => shared.publish(),
+            // A dropped sender is an order to stop as well.
+            _ = &mut stop => break,
+        }
+    }
+    let life = life.drain(clock.now(), shared.settings.drain + DRAIN_SLACK);
+    shared.enter(&life);
+    if shared.traffic.send(Command::Drain).await.is_err() {
+        spdlog::warn!("traffic_ended_early");
+    }
+    let life = drained(life, &mut reports, &shared).await;
+    shared.enter(&life);
+}
+
+/// Waits until the traffic thread has drained, or the time is over.
+async fn drained(
+    mut life: Life<Draining>,
+    reports: &mut mpsc::Receiver<Report>,
+    shared: &Shared,
+) -> Life<Stopped> {
+    let mut open = 1;
+    loop {
+        life = match life.finish(shared.clock.now(), open) {
+            Ok(life) => return life,
+            Err(life) => life,
+        };
+        match timeout(DRAIN_SLACK, reports.recv()).await {
+            Ok(Some(Report::Drained) | None) => open = 0,
+            Ok(Some(Report::Behind { .. })) | Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/process/packet/daemon.rs
@@ -0,0 +1,150 @@
+//! A running process of the packet front end with its threads.
+
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use lagoonhollow_lib::value::name::Name;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::bridge::QUEUE;
+use super::bridge::Report;
+use super::bridge::Traffic;
+use super::control;
+use super::metrics::PacketMetrics;
+use super::recorder::Recorder;
+use super::settings::PacketSettings;
+use super::settings::Role;
+use super::shared::Shared;
+use crate::connection::packet::agent;
+use crate::connection::packet::entry;
+use crate::process::clock::Clock;
+use crate::process::daemon::StartError;
+use crate::process::status::Status;
+
+/// A running process.
+#[derive(Debug)]
+pub struct PacketDaemon {
+    name: Name,
+    shared: Arc<Shared>,
+    stop: Option<oneshot::Sender<()>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl PacketDaemon {
+    /// Starts the process that `settings` describe and returns once its
+    /// addresses are bound.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread can't be started or an address not bound.
+    pub fn spawn(settings: PacketSettings) -> Result<Self, StartError> {
+        let name = settings.name.clone();
+        let metrics = Arc::new(PacketMetrics::open());
+        let clock = Clock::open();
+        let (queue, commands) = mpsc::channel(QUEUE);
+        let (reports, carried) = mpsc::channel(QUEUE);
+        let shared = Arc::new(Shared::open(settings.clone(), metrics.clone(), clock, queue));
+        let traffic = Traffic {
+            commands,
+            reports,
+            view: shared.knowledge.subscribe(),
+            clock,
+            metrics,
+            recorder: Recorder::default(),
+            drain: settings.drain,
+        };
+        let traffic = spawn_traffic(settings, traffic)?;
+        let (stop, stopped) = oneshot::channel();
+        let (started, result) = std::sync::mpsc::channel();
+        let shared_too = shared.clone();
+        let options =
+            control::Options { shared: shared_too, reports: carried, stop: stopped, started };
+        let system_name = name.clone();
+        let system = move || {
+            let system = ntex::rt::System::new(system_name.as_str(), ntex::rt::DefaultRuntime);
+            system.block_on(control::run(options));
+        };
+        let control = thread::Builder::new().name("control".to_owned()).spawn(system);
+        let threads = vec![traffic, control.map_err(StartError::Thread)?];
+        match result.recv() {
+            Ok(Ok(())) => Ok(Self { name, shared, stop: Some(stop), threads }),
+            Ok(Err(problem)) => Err(StartError::Bind(problem)),
+            Err(_) => Err(StartError::Bind("the control thread ended".to_owned())),
+        }
+    }
+
+    /// Returns what operators are told.
+    pub fn status(&self) -> Status {
+        self.shared.status()
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // The control thread has ended if nobody takes the order.
+            let _ = stop.send(());
+        }
+    }
+
+    /// Waits until a planned stop is complete.
+    pub fn join(mut self) {
+        self.drain();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                spdlog::error!("thread_panicked", kv: { process = self.name.as_str() });
+            }
+        }
+    }
+}
+
+/// Starts the traffic thread once its sockets are bound.
+fn spawn_traffic(settings: PacketSettings, traffic: Traffic) -> Result<JoinHandle<()>, StartError> {
+    let (bound, result) = std::sync::mpsc::channel();
+    let body = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = match runtime {
+            Ok(runtime) => runtime,
+            Err(e) => return drop(bound.send(Err(e.to_string()))),
+        };
+        let reports = traffic.reports.clone();
+        let ended = runtime.block_on(async {
+            match &settings.role {
+                Role::Entry => {
+                    let sockets = entry::bind(&settings).await;
+                    let Some(sockets) = told(&bound, sockets) else { return Ok(()) };
+                    entry::run(&settings, sockets, traffic).await
+                }
+                Role::Agent { backend, service, outbound } => {
+                    let sockets = agent::bind(&settings, *backend, *outbound).await;
+                    let Some(sockets) = told(&bound, sockets) else { return Ok(()) };
+                    agent::run(&settings, *backend, service.clone(), sockets, traffic).await
+                }
+            }
+        });
+        if let Err(error) = ended {
+            spdlog::error!("traffic_failed", kv: { error: });
+        }
+        // The control thread ends with the traffic thread.
+        let _ = reports.blocking_send(Report::Drained);
+    };
+    let thread = thread::Builder::new().name("traffic".to_owned()).spawn(body);
+    let thread = thread.map_err(StartError::Thread)?;
+    match result.recv() {
+        Ok(Ok(())) => Ok(thread),
+        Ok(Err(problem)) => Err(StartError::Bind(problem)),
+        Err(_) => Err(StartError::Bind("the traffic thread ended".to_owned())),
+    }
+}
+
+/// Tells the starting thread whether sockets were bound.
+fn told<T>(
+    bound: &std::sync::mpsc::Sender<Result<(), String>>,
+    sockets: std::io::Result<T>,
+) -> Option<T> {
+    let result = sockets.as_ref().map(|_| ()).map_err(|e| format!("can't bind a socket: {e}"));
+    // The starting thread waits for this.
+    let _ = bound.send(result);
+    sockets.ok()
+}
--- /dev/null
+++ b/daemon/src/process/packet/metrics.rs
@@ -0,0 +1,150 @@
+//! Counters, gauges and histograms of a process of the packet front end.
+
+use std::time::Duration;
+
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_lib::value::tally::Tally;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::process::metrics::Reasons;
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 9] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0];
+
+/// All metrics; the handles are atomics, so counting takes no lock.
+#[derive(Debug)]
+pub struct PacketMetrics {
+    registry: Registry,
+    reasons: Reasons,
+    /// Packets taken from callers or from the backend server.
+    pub received: Counter,
+    /// Packets sent to callers or to the backend server.
+    pub sent: Counter,
+    /// Resets sent to callers.
+    pub resets: Counter,
+    /// Messages sent to other processes that carry a packet.
+    pub passed: Counter,
+    /// Messages sent to other processes that carry none.
+    pub told: Counter,
+    /// Bytes of those.
+    pub told_bytes: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+    /// Bytes read from the store.
+    pub store_bytes: Counter,
+    /// Reads from other processes.
+    pub pulls: Counter,
+    /// Version of the routes in force.
+    pub routes: Gauge,
+    /// Revision of the roster.
+    pub roster: Gauge,
+    /// Registered backend servers.
+    pub members: Gauge,
+    /// Whether packets are taken.
+    pub ready: Gauge,
+    /// Flows whose owner is remembered, or that are served.
+    pub flows: Gauge,
+    /// Flows recorded as their home.
+    pub records: Gauge,
+    /// Time from an opening packet to its answer.
+    pub opening: Histogram,
+    /// Time from a request to its answer.
+    pub service: Histogram,
+}
+
+impl PacketMetrics {
+    /// Opens the metrics, with every reason at zero.
+    pub fn open() -> Self {
+        let mut registry = Registry::with_prefix("lagoonhollow");
+        let reasons = Reasons::open(&mut registry);
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let received = counter("received_packets", "Packets taken from callers or backend server");
+        let sent = counter("sent_packets", "Packets sent to callers or backend server");
+        let resets = counter("resets", "Resets sent to callers");
+        let passed = counter("passed_packets", "Packets passed to other processes");
+        let told = counter("control_datagrams", "Control datagrams sent");
+        let told_bytes = counter("control_bytes", "Control bytes sent");
+        let store_calls = counter("store_calls", "Calls to the store");
+        let store_failures = counter("store_failures", "Calls to the store that failed");
+        let store_bytes = counter("store_bytes", "Bytes read from the store");
+        let pulls = counter("pulls", "Reads from other processes");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let routes = gauge("routes_version", "Version of the routes in force");
+        let roster = gauge("roster_revision", "Revision of the roster");
+        let members = gauge("members", "Registered backend servers");
+        let ready = gauge("ready", "Whether packets are taken");
+        let flows = gauge("flows", "Flows remembered or served");
+        let records = gauge("records", "Flows recorded as their home");
+        let mut histogram = |name: &str, help: &str| {
+            let histogram = Histogram::new(BUCKETS);
+            registry.register(name, help, histogram.clone());
+            histogram
+        };
+        let opening = histogram("opening_seconds", "Time from an opening packet to its answer");
+        let service = histogram("service_seconds", "Time from a request to its answer");
+        Self {
+            registry,
+            reasons,
+            received,
+            sent,
+            resets,
+            passed,
+            told,
+            told_bytes,
+            store_calls,
+            store_failures,
+            store_bytes,
+            pulls,
+            routes,
+            roster,
+            members,
+            ready,
+            flows,
+            records,
+            opening,
+            service,
+        }
+    }
+
+    /// Counts one refusal, drop or retry.
+    pub fn count(&self, reason: Reason) {
+        self.reasons.count(reason);
+    }
+
+    /// Adds the counts of a tally.
+    pub fn add(&self, tally: &mut Tally) {
+        self.reasons.add(tally);
+    }
+
+    /// Returns the counts per reason that are not zero.
+    pub fn reasons(&self) -> Vec<(Reason, u64)> {
+        self.reasons.nonzero()
+    }
+
+    /// Adds a time to a histogram.
+    pub fn observe(histogram: &Histogram, took: Duration) {
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Returns all metrics in the text format that scrapers read.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/daemon/src/process/packet/settings.rs
@@ -0,0 +1,158 @@
+//! Settings of a process of the packet front end, checked as a whole.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use lagoonhollow_lib::value::findings::Findings;
+use lagoonhollow_lib::value::name::Name;
+
+use crate::process::reader;
+use crate::process::reader::Reader;
+use crate::process::reader::SettingsError;
+use crate::process::reader::address_list;
+use crate::process::reader::http_url;
+use crate::process::reader::non_empty;
+use crate::process::reader::parsed;
+use crate::process::settings::Level;
+
+/// Sections and keys that a settings file may have.
+const KEYS: [(&str, &str); 16] = [
+    ("process", "front"),
+    ("process", "role"),
+    ("process", "name"),
+    ("process", "domain"),
+    ("process", "first_start"),
+    ("process", "drain_ms"),
+    ("log", "level"),
+    ("address", "link"),
+    ("address", "admin"),
+    ("address", "control"),
+    ("address", "callers"),
+    ("address", "outbound"),
+    ("backend", "address"),
+    ("backend", "service"),
+    ("fleet", "store"),
+    ("fleet", "peers"),
+];
+
+/// Longest time for a planned stop, in milliseconds.
+const MAX_DRAIN_MS: u64 = 3_600_000;
+
+/// What a process is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It takes callers' packets from the fabric.
+    Entry,
+    /// It runs beside a backend server.
+    Agent {
+        /// Address on which the backend server takes packets.
+        backend: SocketAddr,
+        /// Service of the backend server, until it has registered itself.
+        service: Name,
+        /// Address to which the backend server sends its packets.
+        outbound: SocketAddr,
+    },
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PacketSettings {
+    /// What the process is.
+    pub role: Role,
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Least severe level that is logged.
+    pub level: Level,
+    /// Address for datagrams between processes, and for reading what a process
+    /// knows over TCP; the port is the same on all VMs.
+    pub link: SocketAddr,
+    /// Address of the admin HTTP server.
+    pub admin: SocketAddr,
+    /// Another address of the admin HTTP server.
+    pub control: Option<SocketAddr>,
+    /// Address that the fabric sends callers' packets to; its port is also that
+    /// of callers.
+    pub callers: SocketAddr,
+    /// URL of the store that operators and backend servers write to.
+    pub store: String,
+    /// Addresses of processes to ask at the start.
+    pub peers: Vec<SocketAddr>,
+    /// Time for a planned stop.
+    pub drain: Duration,
+}
+
+impl PacketSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, or all findings in it.
+    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+        let text = reader::text(path)?;
+        let file = path.display().to_string();
+        Self::parse(&file, &text).map_err(SettingsError::Findings)
+    }
+
+    /// Checks the text of a settings file called `file`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut reader = Reader::open(file, text);
+        reader.check_keys(&KEYS);
+        let settings = settings(&mut reader);
+        reader.close(settings)
+    }
+}
+
+// Every key is read before any is given up, so that all findings show.
+fn settings(reader: &mut Reader) -> Option<PacketSettings> {
+    const ADDRESS: &str = "an IP address and port";
+    let role = role(reader);
+    let name = reader.required("process", "name", "a name", non_empty);
+    let domain = reader.required("process", "domain", "a failure domain", non_empty);
+    let first_start = reader.optional("process", "first_start", "true or false", parsed);
+    let fits = |s: &str| s.parse().ok().filter(|n| *n <= MAX_DRAIN_MS);
+    let drain = reader.required("process", "drain_ms", "milliseconds from 0 to 3600000", fits);
+    let level = reader.optional("log", "level", "error, warn, info or debug", parsed);
+    let link = reader.required("address", "link", ADDRESS, parsed);
+    let admin = reader.required("address", "admin", ADDRESS, parsed);
+    let control = reader.optional("address", "control", ADDRESS, parsed);
+    let callers = reader.required("address", "callers", ADDRESS, parsed);
+    let store = reader.required("fleet", "store", "an http:// URL", http_url);
+    let peers = reader.optional("fleet", "peers", "IP addresses with ports", address_list);
+    Some(PacketSettings {
+        role: role?,
+        name: name?,
+        domain: domain?,
+        first_start: first_start.unwrap_or(false),
+        level: level.unwrap_or(Level::Info),
+        link: link?,
+        admin: admin?,
+        control,
+        callers: callers?,
+        store: store?,
+        peers: peers.unwrap_or_default(),
+        drain: Duration::from_millis(drain?),
+    })
+}
+
+fn role(reader: &mut Reader) -> Option<Role> {
+    const ADDRESS: &str = "an IP address and port";
+    let known = |s: &str| matches!(s, "entry" | "agent").then(|| s.to_owned());
+    match reader.required("process", "role", "entry or agent", known)?.as_str() {
+        "entry" => Some(Role::Entry),
+        _ => {
+            let backend = reader.required("backend", "address", ADDRESS, parsed);
+            let service = reader.required("backend", "service", "a service", non_empty);
+            let outbound = reader.required("address", "outbound", ADDRESS, parsed);
+            Some(Role::Agent { backend: backend?, service: service?, outbound: outbound? })
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/process/packet/shared.rs
@@ -0,0 +1,132 @@
+//! What the control thread and the admin server share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use lagoonhollow_lib::process::life::Life;
+use lagoonhollow_lib::process::life::Serving;
+use lagoonhollow_lib::process::life::Starting;
+use lagoonhollow_lib::process::life::State as LifeState;
+use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_lib::version::routes::Published;
+use lagoonhollow_platform::error::StoreError;
+use tokio::sync::mpsc;
+
+use super::bridge::Command;
+use super::metrics::PacketMetrics;
+use super::settings::PacketSettings;
+use super::settings::Role;
+use crate::process::clock::Clock;
+use crate::process::status::Status;
+use crate::version::packet::knowledge::Knowledge;
+
+/// Shared state of a process.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings that the process was started with.
+    pub settings: PacketSettings,
+    /// The metrics.
+    pub metrics: Arc<PacketMetrics>,
+    /// What the process knows.
+    pub knowledge: Knowledge,
+    /// The clock.
+    pub clock: Clock,
+    /// The queue to the traffic thread.
+    pub traffic: mpsc::Sender<Command>,
+    // Only the control thread and the admin server take this lock.
+    state: Mutex<&'static str>,
+}
+
+impl Shared {
+    /// Opens in the state before the start.
+    pub fn open(
+        settings: PacketSettings,
+        metrics: Arc<PacketMetrics>,
+        clock: Clock,
+        traffic: mpsc::Sender<Command>,
+    ) -> Self {
+        let knowledge = Knowledge::open();
+        let state = Mutex::new(Starting::NAME);
+        Self { settings, metrics, knowledge, clock, traffic, state }
+    }
+
+    /// Shows the state that the life cycle has entered.
+    pub fn enter<S: LifeState>(&self, life: &Life<S>) {
+        let state = life.name();
+        *self.state.lock().unwrap_or_else(|e| e.into_inner()) = state;
+        self.show_ready();
+        spdlog::info!("state", kv: { state, name = self.settings.name.as_str() });
+    }
+
+    /// Returns whether the process takes packets.
+    pub fn is_ready(&self) -> bool {
+        let state = *self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let view = self.knowledge.view();
+        state == Serving::NAME && view.routes.version() > 0 && !view.roster.members().is_empty()
+    }
+
+    /// Puts routes in force if they are later.
+    pub fn enforce(&self, published: Published, source: &str) {
+        let version = published.version;
+        if self.knowledge.routes(published) {
+            let routes = self.knowledge.view().routes.count();
+            spdlog::info!("version_in_force", kv: { version, routes, source });
+        }
+        self.metrics.routes.set(self.knowledge.known().routes as i64);
+        self.show_ready();
+    }
+
+    /// Shows the traffic thread what has changed of backend servers.
+    pub fn publish(&self) {
+        self.knowledge.publish(self.clock.now());
+        let view = self.knowledge.view();
+        self.metrics.roster.set(view.roster.revision() as i64);
+        self.metrics.members.set(view.roster.members().len() as i64);
+        self.show_ready();
+    }
+
+    /// Counts a failed read of the store, and logs the first one in a row.
+    pub fn lost(&self, what: &str, error: &StoreError, failing: &mut bool) {
+        self.metrics.store_failures.inc();
+        self.metrics.count(Reason::PlatformDown);
+        if !std::mem::replace(failing, true) {
+            spdlog::warn!("store_lost", kv: { what, error: });
+        }
+    }
+
+    /// Logs that the store answers again.
+    pub fn regained(&self, what: &str, failing: &mut bool) {
+        if std::mem::take(failing) {
+            spdlog::info!("store_regained", kv: { what });
+        }
+    }
+
+    /// Returns what operators are told.
+    pub fn status(&self) -> Status {
+        let role = match self.settings.role {
+            Role::Entry => "entry",
+            Role::Agent { .. } => "agent",
+        };
+        let number = |n: i64| u64::try_from(n).unwrap_or_default();
+        let held = [
+            ("flows", number(self.metrics.flows.get())),
+            ("records", number(self.metrics.records.get())),
+            ("members", number(self.metrics.members.get())),
+        ];
+        let reasons = self.metrics.reasons();
+        Status {
+            name: self.settings.name.to_string(),
+            role: role.to_owned(),
+            domain: self.settings.domain.to_string(),
+            state: (*self.state.lock().unwrap_or_else(|e| e.into_inner())).to_owned(),
+            version: self.knowledge.known().routes,
+            ready: self.is_ready(),
+            held: held.map(|(name, n)| (name.to_owned(), n)).into(),
+            reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+        }
+    }
+
+    fn show_ready(&self) {
+        self.metrics.ready.set(self.is_ready().into());
+    }
+}
--- a/daemon/src/request/backend.rs
+++ b/daemon/src/request/backend.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonhollow_lib::process::reason::Reason;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_wire::backend;
 use tokio::net::UdpSocket;
 
--- /dev/null
+++ b/daemon/src/version/packet/exchange.rs
@@ -0,0 +1,45 @@
+//! What processes read from each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonhollow_lib::process::registry::Listing;
+use lagoonhollow_lib::version::routes::Published;
+use ntex::client::Client;
+use ntex::time::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Path under which a process shows what it knows.
+pub const PATH: &str = "/knowledge";
+/// Time that another process is given to answer.
+const LIMIT: Duration = Duration::from_millis(800);
+/// Longest answer in bytes: the routes and backend servers of the largest fleet.
+const MAX_BODY: usize = 8 << 20;
+
+/// All that a process knows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The routes in force.
+    pub routes: Published,
+    /// The entries of backend servers.
+    pub listing: Listing,
+}
+
+impl Exchange {
+    /// Reads what the process at `peer` knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong if it does not answer in time.
+    pub async fn read(client: &Client, peer: SocketAddr) -> Result<Self, String> {
+        let fetch = async {
+            let request = client.get(format!("http://{peer}{PATH}"));
+            let request = request.timeout(Millis(LIMIT.as_millis() as u32));
+            let response = request.send().await.map_err(|e| e.to_string())?;
+            let body = response.body().limit(MAX_BODY).await.map_err(|e| e.to_string())?;
+            serde_json::from_slice(&body).map_err(|e| e.to_string())
+        };
+        tokio::time::timeout(LIMIT, fetch).await.map_err(|_| "timeout".to_owned())?
+    }
+}
--- /dev/null
+++ b/daemon/src/version/packet/knowledge.rs
@@ -0,0 +1,125 @@
+//! What a process knows of routes and backend servers.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use lagoonhollow_lib::front::packet::message::Known;
+use lagoonhollow_lib::process::registry::Change;
+use lagoonhollow_lib::process::registry::Listing;
+use lagoonhollow_lib::process::registry::Registry;
+use lagoonhollow_lib::process::view::View;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::routes::Published;
+use lagoonhollow_lib::version::routes::Routes;
+use tokio::sync::watch;
+
+use super::exchange::Exchange;
+
+/// Silence of the store after which a missing backend server may only be
+/// unknown: some reads in a row have failed then.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// Knowledge of the process, which only the control thread changes.
+#[derive(Debug)]
+pub struct Knowledge {
+    // The admin server reads it; no traffic thread takes this lock.
+    state: Mutex<State>,
+    view: watch::Sender<View>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    registry: Registry,
+    answered: Option<Moment>,
+    changed: bool,
+}
+
+impl Knowledge {
+    /// Opens without any knowledge.
+    pub fn open() -> Self {
+        Self { state: Mutex::default(), view: watch::channel(View::default()).0 }
+    }
+
+    /// Returns a receiver of each new view.
+    pub fn subscribe(&self) -> watch::Receiver<View> {
+        self.view.subscribe()
+    }
+
+    /// Returns what is known now.
+    pub fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    /// Returns the version and revision of what is known.
+    pub fn known(&self) -> Known {
+        let view = self.view.borrow();
+        Known { routes: view.routes.version(), roster: view.roster.revision() }
+    }
+
+    /// Puts routes in force if they are later; returns whether they are.
+    pub fn routes(&self, published: Published) -> bool {
+        let old = self.view.borrow().routes.clone();
+        if published.version <= old.version() {
+            return false;
+        }
+        let routes = Routes::open(published).enforce(&old).into();
+        self.view.send_modify(|view| view.routes = routes);
+        true
+    }
+
+    /// Takes in that backend servers could not be read from the store.
+    pub fn failed(&self) {
+        self.lock().registry.failed();
+    }
+
+    /// Takes in that the store answered.
+    pub fn answered(&self, now: Moment) {
+        let mut state = self.lock();
+        state.registry.answered(now);
+        state.answered = Some(now);
+    }
+
+    /// Takes in changes that the store told.
+    pub fn change(&self, revision: u64, changes: Vec<Change>, now: Moment) {
+        let mut state = self.lock();
+        state.changed |= state.registry.change(revision, changes, now);
+    }
+
+    /// Takes in all entries, from the store or from a process that knows more.
+    pub fn replace(&self, listing: Listing, now: Moment) {
+        let mut state = self.lock();
+        state.changed |= state.registry.replace(listing, now);
+    }
+
+    /// Returns the time since the store last answered.
+    pub fn silence(&self, now: Moment) -> Option<Duration> {
+        self.lock().answered.map(|at| now.since(at))
+    }
+
+    /// Shows the traffic thread what has changed.
+    pub fn publish(&self, now: Moment) {
+        let mut state = self.lock();
+        state.changed |= state.registry.expire(now);
+        let fresh = state.answered.is_some_and(|at| now.since(at) < FRESH);
+        let changed = std::mem::take(&mut state.changed);
+        if changed {
+            let roster = state.registry.roster().into();
+            drop(state);
+            self.view.send_modify(|view| (view.roster, view.fresh) = (roster, fresh));
+        } else if fresh != self.view.borrow().fresh {
+            drop(state);
+            self.view.send_modify(|view| view.fresh = fresh);
+        }
+    }
+
+    /// Returns what another process needs to know as much.
+    pub fn exchange(&self) -> Exchange {
+        let routes = self.view.borrow().routes.published().clone();
+        Exchange { routes, listing: self.lock().registry.listing() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
--- a/daemon/src/version/platform.rs
+++ b/daemon/src/version/platform.rs
@@ -8,7 +8,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_lib::version::index::Index;
 use ntex::client::Client;
--- a/daemon/src/version/versions.rs
+++ b/daemon/src/version/versions.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use lagoonhollow_lib::process::name::Name;
-use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_lib::version::index::Index;
 use lagoonhollow_lib::version::manifest::Manifest;
--- a/daemon/src/version/watch.rs
+++ b/daemon/src/version/watch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonhollow_lib::process::reason::Reason;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::index::Index;
 use lagoonhollow_wire::control::Call;
 use lagoonhollow_wire::control::Return;
--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -6,16 +6,16 @@
 
 use common::Fleet;
 use lagoonhollow_lib::connection::flow::Header;
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::message::Message;
 use lagoonhollow_lib::process::message::Mode;
 use lagoonhollow_lib::process::message::Pass;
 use lagoonhollow_lib::process::message::Via;
-use lagoonhollow_lib::process::moment::Moment;
 use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::message::Method;
 use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_testutils::backend::BLOCKS;
 use lagoonhollow_testutils::backend::download_block;
 use lagoonhollow_testutils::caller::Caller;
--- a/lib/benches/policy/ours.rs
+++ b/lib/benches/policy/ours.rs
@@ -4,9 +4,9 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
-use lagoonhollow_lib::process::moment::Moment;
 use lagoonhollow_lib::process::safeguard::Safeguard;
 use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_testutils::docs;
 use lagoonhollow_testutils::world::LONG_PATH;
 use lagoonhollow_testutils::world::World;
--- a/lib/src/connection/channel.rs
+++ b/lib/src/connection/channel.rs
@@ -8,12 +8,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::flow::FlowKey;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
 use crate::request::answer::Answer;
 use crate::request::message::Method;
 use crate::request::message::Request;
 use crate::request::token::Token;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Notifications that wait for the caller at most.
 const MAX_WAITING: usize = 32;
--- a/lib/src/connection/channels.rs
+++ b/lib/src/connection/channels.rs
@@ -10,11 +10,11 @@
 use crate::process::action::Action;
 use crate::process::context::Context;
 use crate::process::message::Via;
-use crate::process::moment::Moment;
-use crate::process::reason::Reason;
 use crate::request::answer::Answer;
 use crate::request::message::Request;
 use crate::request::token::Token;
+use crate::value::moment::Moment;
+use crate::value::reason::Reason;
 
 /// Channels served at most.
 pub const MAX_CHANNELS: usize = 16_384;
--- a/lib/src/connection/claims.rs
+++ b/lib/src/connection/claims.rs
@@ -7,8 +7,8 @@
 use super::stamp::Stamp;
 use crate::process::context::Context;
 use crate::process::message::Message;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Time after which an unanswered claim is repeated.
 const CLAIM_AGAIN: Duration = Duration::from_millis(500);
--- a/lib/src/connection/credit.rs
+++ b/lib/src/connection/credit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::process::moment::Moment;
+use crate::value::moment::Moment;
 
 /// Time that a packet may stay without credit before its agent is suspected.
 pub const SILENCE: Duration = Duration::from_secs(1);
--- a/lib/src/connection/door.rs
+++ b/lib/src/connection/door.rs
@@ -6,11 +6,11 @@
 
 use super::credit::Credit;
 use super::flow::Header;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
 use crate::process::notice::Notice;
-use crate::process::reason::Reason;
-use crate::process::tally::Tally;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
+use crate::value::tally::Tally;
 use crate::version::backend::Backend;
 use crate::version::manifest::InForce;
 use crate::version::manifest::Manifest;
--- a/lib/src/connection/flows.rs
+++ b/lib/src/connection/flows.rs
@@ -7,9 +7,9 @@
 use super::lookup::Lookup;
 use super::redirect::Redirect;
 use super::stamp::Stamp;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Flows owned at most by one agent.
 pub const MAX_FLOWS: usize = 65_536;
--- a/lib/src/connection/handover.rs
+++ b/lib/src/connection/handover.rs
@@ -9,9 +9,9 @@
 use crate::process::context::Context;
 use crate::process::message::Message;
 use crate::process::message::Via;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Time after which a silent receiver is sent a flow again.
 const SEND_AGAIN: Duration = Duration::from_millis(300);
--- a/lib/src/connection/lookup.rs
+++ b/lib/src/connection/lookup.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::stamp::Stamp;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Packets held while one flow is looked for.
 pub const MAX_HELD: usize = 8;
--- a/lib/src/connection/owed.rs
+++ b/lib/src/connection/owed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::process::message::Via;
-use crate::process::moment::Moment;
+use crate::value::moment::Moment;
 
 /// Time that an answer is waited for before credit is sent on its own.
 const DELAY: Duration = Duration::from_millis(100);
--- a/lib/src/connection/redirect.rs
+++ b/lib/src/connection/redirect.rs
@@ -1,7 +1,7 @@
 //! Where the owner of a flow is found.
 
 use crate::connection::stamp::Stamp;
-use crate::process::moment::Moment;
+use crate::value::moment::Moment;
 
 /// A flow's owner as another agent last heard of it.
 #[derive(Clone, Debug)]
--- a/lib/src/connection/router.rs
+++ b/lib/src/connection/router.rs
@@ -15,9 +15,9 @@
 use crate::process::message::Message;
 use crate::process::message::Mode;
 use crate::process::message::Pass;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Processes that a packet passes at most: entry, home, former owner, owner.
 pub const MAX_HOPS: u8 = 4;
--- a/lib/src/connection/settling.rs
+++ b/lib/src/connection/settling.rs
@@ -11,9 +11,9 @@
 use super::flows::Flows;
 use crate::process::context::Context;
 use crate::process::message::Message;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Time after which redirects elsewhere are confirmed.
 const CONFIRM: Duration = Duration::from_secs(60);
--- a/lib/src/connection/stamp.rs
+++ b/lib/src/connection/stamp.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// When a flow was placed and how often it was moved since.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/connection/standing.rs
+++ b/lib/src/connection/standing.rs
@@ -12,14 +12,14 @@
 use crate::process::message::Message;
 use crate::process::message::Pass;
 use crate::process::message::Via;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
 use crate::request::answer::Answer;
 use crate::request::answer::Code;
 use crate::request::message::Request;
 use crate::request::requests::Requests;
 use crate::request::token::Token;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Channels that are served here, and those on their way to other agents.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/lib/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! The parts put together, for one front end each.
+
+pub mod packet;
--- /dev/null
+++ b/lib/src/front/packet/desk.rs
@@ -0,0 +1,114 @@
+//! What all parts of an agent share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::event::Event;
+use super::message::Known;
+use super::message::Message;
+use super::step::Step;
+use crate::connection::flow::FlowKey;
+use crate::connection::segment::Packet;
+use crate::process::view::View;
+use crate::value::incarnation::Incarnation;
+use crate::value::name::Name;
+use crate::value::tally::Tally;
+use crate::version::member::Member;
+
+/// Homes at which each flow is claimed, so that one may be lost.
+pub const HOMES: usize = 2;
+/// Time for which a flow is kept while no version says how long flows last.
+const MIN_IDLE: Duration = Duration::from_secs(15);
+
+/// Who an agent is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its address for datagrams.
+    pub link: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Its run.
+    pub run: Incarnation,
+    /// Address on which its backend server takes packets.
+    pub backend: SocketAddr,
+    /// Service of its backend server, until the roster says so.
+    pub service: Name,
+    /// Whether the whole fleet starts for the first time, so that there are no
+    /// flows from before.
+    pub first_start: bool,
+}
+
+/// Identity, knowledge and pending steps of an agent.
+#[derive(Debug)]
+pub struct Desk {
+    /// Who the agent is.
+    pub me: Identity,
+    /// What it knows.
+    pub view: View,
+    /// Counts per reason.
+    pub tally: Tally,
+    steps: Vec<Step>,
+}
+
+impl Desk {
+    /// Opens without any knowledge.
+    pub fn open(me: Identity) -> Self {
+        Self { me, view: View::default(), tally: Tally::default(), steps: Vec::new() }
+    }
+
+    /// Returns what every message tells of the process's knowledge.
+    pub fn known(&self) -> Known {
+        Known { routes: self.view.routes.version(), roster: self.view.roster.revision() }
+    }
+
+    /// Returns the address of the agent beside a backend server.
+    pub fn link(&self, member: &Member) -> SocketAddr {
+        SocketAddr::new(member.address.ip(), self.me.link.port())
+    }
+
+    /// Returns the other agents of a service.
+    pub fn others(&self, service: &Name) -> Vec<SocketAddr> {
+        let members = self.view.roster.crew(service).map_or(&[][..], |c| c.members());
+        members.iter().map(|m| self.link(m)).filter(|l| *l != self.me.link).collect()
+    }
+
+    /// Returns the homes of a flow of a service.
+    pub fn homes(&self, service: &Name, flow: &FlowKey) -> Vec<SocketAddr> {
+        let crew = self.view.roster.crew(service);
+        let ranks = crew.into_iter().flat_map(|c| c.ranks(flow.hash(), HOMES));
+        ranks.map(|m| self.link(m)).collect()
+    }
+
+    /// Returns the time after which an unused flow may be forgotten.
+    pub fn idle(&self) -> Duration {
+        self.view.routes.published().idle.max(MIN_IDLE)
+    }
+
+    /// Adds a step.
+    pub fn step(&mut self, step: Step) {
+        self.steps.push(step);
+    }
+
+    /// Sends a message without a packet.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        self.step(Step::Send { to, message, packet: None });
+    }
+
+    /// Sends a message with a packet.
+    pub fn pass(&mut self, to: SocketAddr, message: Message, packet: &Packet) {
+        self.step(Step::Send { to, message, packet: Some(packet.clone()) });
+    }
+
+    /// Writes down a decision, and counts its reason.
+    pub fn record(&mut self, event: Event) {
+        if let Some(reason) = event.reason {
+            self.tally.add(reason);
+        }
+        self.step(Step::Record(event));
+    }
+
+    /// Takes the steps since the last call.
+    pub fn take_steps(&mut self) -> Vec<Step> {
+        std::mem::take(&mut self.steps)
+    }
+}
--- /dev/null
+++ b/lib/src/front/packet/entry.rs
@@ -0,0 +1,251 @@
+//! Decisions of an entry.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::event::Decision;
+use super::event::Event;
+use super::message::Known;
+use super::message::Message;
+use super::step::Step;
+use crate::connection::flow::FlowKey;
+use crate::connection::hints::Hints;
+use crate::connection::hints::Owner;
+use crate::connection::segment::Packet;
+use crate::connection::unrouted::HOME_TIMEOUT;
+use crate::connection::unrouted::Unrouted;
+use crate::connection::unrouted::UnroutedFlows;
+use crate::process::view::View;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
+use crate::value::tally::Tally;
+use crate::version::member::Member;
+
+/// Homes tried for one packet at most.
+const MAX_HOMES: usize = 3;
+/// Time for which a home that did not answer is passed over.
+const SUSPICION: Duration = Duration::from_secs(1);
+/// Time between two searches for hints that nothing has used.
+const EXPIRE: Duration = Duration::from_secs(1);
+/// Time for which a hint is kept while no version says how long flows last.
+const MIN_IDLE: Duration = Duration::from_secs(15);
+
+/// An entry. It holds nothing that a flow depends on.
+#[derive(Debug)]
+pub struct Entry {
+    domain: Name,
+    port: u16,
+    view: View,
+    hints: Hints,
+    unrouted: UnroutedFlows,
+    suspects: HashMap<SocketAddr, Moment>,
+    expired: Moment,
+    tally: Tally,
+    steps: Vec<Step>,
+}
+
+impl Entry {
+    /// Opens an entry in a failure domain; agents take datagrams on `port`.
+    pub fn open(domain: Name, port: u16, now: Moment) -> Self {
+        Self {
+            domain,
+            port,
+            view: View::default(),
+            hints: Hints::default(),
+            unrouted: UnroutedFlows::default(),
+            suspects: HashMap::new(),
+            expired: now,
+            tally: Tally::default(),
+            steps: Vec::new(),
+        }
+    }
+
+    /// Takes in what the process knows now.
+    pub fn enforce(&mut self, view: View) {
+        self.view = view;
+    }
+
+    /// Returns what every message tells of the process's knowledge.
+    pub fn known(&self) -> Known {
+        Known { routes: self.view.routes.version(), roster: self.view.roster.revision() }
+    }
+
+    /// Takes the steps of the decisions since the last call.
+    pub fn take_steps(&mut self) -> Vec<Step> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns the counts per reason.
+    pub fn tally(&mut self) -> &mut Tally {
+        &mut self.tally
+    }
+
+    /// Returns the number of flows whose owner is remembered.
+    pub fn hints(&self) -> usize {
+        self.hints.count()
+    }
+
+    /// Returns who owns a flow, as far as it is remembered.
+    pub fn hint(&self, flow: &FlowKey) -> Option<Owner> {
+        self.hints.peek(flow)
+    }
+
+    /// Returns whether packets wait for a home's answer.
+    pub fn is_waiting(&self) -> bool {
+        !self.unrouted.is_empty()
+    }
+
+    /// Takes a packet of a caller.
+    pub fn packet(&mut self, packet: Packet, now: Moment) {
+        let segment = packet.segment;
+        let Some(route) = self.view.routes.route(segment.flow.service).cloned() else {
+            self.unknown_address(&packet, now);
+            return;
+        };
+        let repeated = segment.is_opening() && segment.copy > 0;
+        let hint = self.hints.find(&segment, now).filter(|_| !repeated);
+        if let Some(owner) = hint {
+            self.deliver(owner, packet);
+            return;
+        }
+        // Also an established flow: its home is that of the service which the
+        // route sends the flow's hash to.
+        let Some(service) = route.service(segment.flow.hash()).cloned() else {
+            self.refuse(&packet, Reason::NoService);
+            return;
+        };
+        if let Some(home) = self.unrouted.join(&packet).filter(|_| !repeated) {
+            self.route(home, service, packet);
+            return;
+        }
+        let unrouted = Unrouted { service, packets: vec![packet], tried: Vec::new(), due: now };
+        self.try_home(unrouted, now);
+    }
+
+    /// Takes a message of an agent.
+    pub fn message(&mut self, from: SocketAddr, known: Known, message: Message, now: Moment) {
+        self.suspects.remove(&from);
+        let mine = self.known();
+        if known.routes > mine.routes || known.roster > mine.roster {
+            self.steps.push(Step::Behind { peer: from, known });
+        }
+        match message {
+            Message::Found { flow, owner } => {
+                self.hints.add(flow, owner, now);
+                self.unrouted.end(&flow);
+            }
+            Message::Taken { flow } => self.unrouted.end(&flow),
+            Message::Gone { flow } => self.hints.remove(&flow, from),
+            _ => self.tally.add(Reason::WrongService),
+        }
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, now: Moment) {
+        for unrouted in self.unrouted.overdue(now) {
+            if let Some(home) = unrouted.tried.last() {
+                self.suspects.insert(*home, now + SUSPICION);
+            }
+            self.try_home(unrouted, now);
+        }
+        if now.since(self.expired) >= EXPIRE {
+            self.expired = now;
+            let idle = self.view.routes.published().idle.max(MIN_IDLE);
+            self.hints.expire(idle, now);
+            self.suspects.retain(|_, until| *until > now);
+        }
+    }
+
+    /// Sends the packets of a flow to the next of its homes.
+    fn try_home(&mut self, mut unrouted: Unrouted, now: Moment) {
+        let Some(first) = unrouted.packets.first() else { return };
+        let flow = first.segment.flow;
+        let Some(home) = self.next_home(&unrouted, &flow, now) else {
+            let reason =
+                if unrouted.tried.is_empty() { Reason::NoBackend } else { Reason::Suspected };
+            if unrouted.tried.is_empty() && first.segment.is_opening() {
+                let first = first.clone();
+                self.refuse(&first, reason);
+            } else {
+                self.drop_packet(&flow, reason);
+            }
+            return;
+        };
+        if !unrouted.tried.is_empty() {
+            self.tally.add(Reason::Suspected);
+            let event = Event::of(Decision::NextHome).flow(flow).peer(home);
+            self.steps.push(Step::Record(event.value(unrouted.tried.len() as u64)));
+        }
+        unrouted.tried.push(home);
+        unrouted.due = now + HOME_TIMEOUT;
+        for packet in &unrouted.packets {
+            self.route(home, unrouted.service.clone(), packet.clone());
+        }
+        self.unrouted.start(flow, unrouted);
+    }
+
+    fn next_home(&self, unrouted: &Unrouted, flow: &FlowKey, now: Moment) -> Option<SocketAddr> {
+        if unrouted.tried.len() >= MAX_HOMES {
+            return None;
+        }
+        let crew = self.view.roster.crew(&unrouted.service)?;
+        let links = crew.ranks(flow.hash(), crew.members().len()).map(|m| self.link(m));
+        let rest: Vec<_> = links.filter(|l| !unrouted.tried.contains(l)).collect();
+        let suspect = |l: &SocketAddr| self.suspects.get(l).is_some_and(|until| *until > now);
+        // Where all are suspected, the first is as good as any.
+        rest.iter().find(|l| !suspect(l)).or(rest.first()).copied()
+    }
+
+    fn link(&self, member: &Member) -> SocketAddr {
+        SocketAddr::new(member.address.ip(), self.port)
+    }
+
+    fn route(&mut self, home: SocketAddr, service: Name, packet: Packet) {
+        let message = Message::Route { service, domain: self.domain.clone() };
+        self.steps.push(Step::Send { to: home, message, packet: Some(packet) });
+    }
+
+    fn deliver(&mut self, owner: Owner, packet: Packet) {
+        // The receiver takes the sender's address for the entry.
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        let message = Message::Deliver { entry: unset, direct: true };
+        self.steps.push(Step::Send { to: owner.link, message, packet: Some(packet) });
+    }
+
+    /// Takes a packet to an address that no route has.
+    fn unknown_address(&mut self, packet: &Packet, now: Moment) {
+        let segment = &packet.segment;
+        if self.view.routes.version() == 0 {
+            self.drop_packet(&segment.flow, Reason::NoService);
+            return;
+        }
+        // An established flow may be of a later version than this entry has.
+        if segment.is_opening() || self.view.routes.dropped(segment.flow.service) {
+            self.refuse(packet, Reason::NoService);
+        } else if let Some(owner) = self.hints.find(segment, now) {
+            self.deliver(owner, packet.clone());
+        } else {
+            self.drop_packet(&segment.flow, Reason::NoService);
+        }
+    }
+
+    fn refuse(&mut self, packet: &Packet, reason: Reason) {
+        let segment = &packet.segment;
+        self.tally.add(reason);
+        if segment.marks.aborts {
+            return;
+        }
+        let event = Event::of(Decision::Refused).why(reason).flow(segment.flow);
+        self.steps.push(Step::Record(event.value(self.view.routes.version())));
+        let seq = if segment.is_opening() { 0 } else { segment.ack };
+        self.steps.push(Step::Reset { flow: segment.flow, seq });
+    }
+
+    fn drop_packet(&mut self, flow: &FlowKey, reason: Reason) {
+        self.tally.add(reason);
+        let event = Event::of(Decision::Dropped).why(reason).flow(*flow);
+        self.steps.push(Step::Record(event));
+    }
+}
--- /dev/null
+++ b/lib/src/front/packet/home.rs
@@ -0,0 +1,202 @@
+//! An agent as the home of flows: who owns them, as far as owners claimed it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::desk::Desk;
+use super::event::Decision;
+use super::event::Event;
+use super::host::Host;
+use super::message::Message;
+use super::step::Step;
+use crate::connection::directory::Directory;
+use crate::connection::flow::FlowKey;
+use crate::connection::hints::Owner;
+use crate::connection::search::Search;
+use crate::connection::search::Searches;
+use crate::connection::segment::Packet;
+use crate::process::neighbours::Neighbours;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
+
+/// Time for which a record is kept without being claimed again. Owners release
+/// their flows; this bounds what a lost owner leaves behind.
+const RECORD_LIFE: Duration = Duration::from_secs(120);
+/// Flows told in one datagram.
+const FLOWS_A_DATAGRAM: usize = 30;
+
+/// Records and searches of a home.
+#[derive(Debug, Default)]
+pub struct Home {
+    directory: Directory,
+    searches: Searches,
+}
+
+impl Home {
+    /// Returns the number of recorded flows.
+    pub fn records(&self) -> usize {
+        self.directory.count()
+    }
+
+    /// Returns the recorded owner of a flow heard of last.
+    pub fn owner(&self, flow: &FlowKey) -> Option<Owner> {
+        self.directory.owners(flow)?.latest()
+    }
+
+    /// Returns whether searches are going on.
+    pub fn is_waiting(&self) -> bool {
+        !self.searches.is_empty()
+    }
+
+    /// Sends a packet of an established flow to its owner, which is not this
+    /// agent, or searches for it.
+    pub fn find(
+        &mut self,
+        desk: &mut Desk,
+        host: &mut Host,
+        neighbours: &Neighbours,
+        entry: SocketAddr,
+        packet: Packet,
+        now: Moment,
+    ) {
+        let flow = packet.segment.flow;
+        let owner = self.directory.owners(&flow).and_then(|o| o.choose(&packet.segment));
+        match owner.filter(|o| o.link != desk.me.link) {
+            Some(owner) if is_there(desk, neighbours, owner.link) => {
+                pass_on(desk, entry, owner, &packet);
+                return;
+            }
+            Some(owner) => self.directory.release(&flow, owner.link),
+            None => {}
+        }
+        if self.searches.hold(&packet) {
+            return;
+        }
+        self.search(desk, host, neighbours, entry, packet, now);
+    }
+
+    /// Takes in that the agent at `owner.link` claims a flow.
+    pub fn claim(&mut self, desk: &mut Desk, flow: FlowKey, owner: Owner, now: Moment) {
+        if !self.directory.claim(flow, owner, now) {
+            desk.tally.add(Reason::FlowsFull);
+        }
+        let Some(search) = self.searches.end(&flow) else { return };
+        desk.record(Event::of(Decision::FoundOwner).flow(flow).peer(owner.link));
+        // The packet that was sent with the search was delivered by the owner.
+        for packet in &search.held {
+            pass_on(desk, search.entry, owner, packet);
+        }
+    }
+
+    /// Takes in that an agent no longer owns a flow.
+    pub fn release(&mut self, flow: &FlowKey, link: SocketAddr) {
+        self.directory.release(flow, link);
+    }
+
+    /// Takes in that a flow is not at an agent.
+    pub fn not_at(&mut self, desk: &mut Desk, flow: &FlowKey, link: SocketAddr) {
+        self.directory.release(flow, link);
+        if let Some(search) = self.searches.not_at(flow, link) {
+            absent(desk, &search);
+        }
+    }
+
+    /// Returns messages with the flows that the agent at `link` owned.
+    pub fn owned_by(&self, link: SocketAddr) -> Vec<Message> {
+        let flows: Vec<_> = self.directory.owned_by(link).map(|(f, o)| (f, o.first)).collect();
+        let owned = |part: &[_]| Message::Owned { flows: part.to_vec() };
+        flows.chunks(FLOWS_A_DATAGRAM).map(owned).collect()
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, desk: &mut Desk, now: Moment) {
+        for _ in 0..self.searches.expire(now) {
+            desk.record(Event::of(Decision::Dropped).why(Reason::OwnerUnknown));
+        }
+    }
+
+    /// Forgets what is no longer used.
+    pub fn expire(&mut self, now: Moment) {
+        self.directory.expire(RECORD_LIFE, now);
+    }
+
+    fn search(
+        &mut self,
+        desk: &mut Desk,
+        host: &mut Host,
+        neighbours: &Neighbours,
+        entry: SocketAddr,
+        packet: Packet,
+        now: Moment,
+    ) {
+        let flow = packet.segment.flow;
+        if !self.searches.has_room() {
+            desk.record(Event::of(Decision::Dropped).why(Reason::HeldFull).flow(flow));
+            return;
+        }
+        let services = holders(desk, host, &flow);
+        let mut waiting = BTreeSet::new();
+        for service in &services {
+            waiting.extend(desk.others(service));
+            waiting.extend(neighbours.reachable(service, now));
+        }
+        waiting.remove(&desk.me.link);
+        // While an agent is out of reach, the flow may be its own; then other
+        // backend servers are not asked by passing them the packet.
+        let offer = waiting.iter().all(|l| neighbours.get(*l).is_some());
+        let event = Event::of(Decision::Searched).flow(flow).peer(entry);
+        desk.record(event.value(waiting.len() as u64));
+        for link in &waiting {
+            desk.pass(*link, Message::Search { entry, offer }, &packet);
+        }
+        if !host.is_complete() {
+            waiting.insert(desk.me.link);
+            if offer {
+                host.try_unknown(desk, &packet, entry, Some(desk.me.link), now);
+            }
+        }
+        let complete = desk.view.fresh && !services.is_empty();
+        let search = Search::open(entry, packet, waiting, complete, now);
+        if search.waiting.is_empty() {
+            absent(desk, &search);
+        } else {
+            self.searches.start(flow, search);
+        }
+    }
+}
+
+/// Returns the services whose backend servers may have a flow.
+fn holders(desk: &Desk, host: &Host, flow: &FlowKey) -> BTreeSet<Name> {
+    match desk.view.routes.route(flow.service) {
+        Some(route) => route.holders().cloned().collect(),
+        None => BTreeSet::from([host.service(desk).clone()]),
+    }
+}
+
+/// Returns whether an agent is registered or was heard lately.
+fn is_there(desk: &Desk, neighbours: &Neighbours, link: SocketAddr) -> bool {
+    desk.view.roster.on_vm(link.ip()).is_some() || neighbours.get(link).is_some()
+}
+
+fn pass_on(desk: &mut Desk, entry: SocketAddr, owner: Owner, packet: &Packet) {
+    let flow = packet.segment.flow;
+    desk.send(entry, Message::Found { flow, owner });
+    desk.pass(owner.link, Message::Deliver { entry, direct: true }, packet);
+}
+
+/// Ends a search that everybody answered with no.
+fn absent(desk: &mut Desk, search: &Search) {
+    let segment = &search.packet.segment;
+    if !search.proves_absence() {
+        let event = Event::of(Decision::Dropped).why(Reason::OwnerUnknown);
+        desk.record(event.flow(segment.flow));
+        return;
+    }
+    if segment.marks.aborts {
+        return;
+    }
+    desk.record(Event::of(Decision::Reset).why(Reason::NotHere).flow(segment.flow));
+    desk.step(Step::Reset { flow: segment.flow, seq: segment.ack });
+}
--- /dev/null
+++ b/lib/src/front/packet/host.rs
@@ -0,0 +1,418 @@
+//! An agent's side towards its backend server.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::desk::Desk;
+use super::event::Decision;
+use super::event::Event;
+use super::message::Message;
+use super::step::Step;
+use crate::connection::flow::FlowKey;
+use crate::connection::segment::Packet;
+use crate::connection::segment::Segment;
+use crate::connection::served::Established;
+use crate::connection::served::Flow;
+use crate::connection::served::Opening;
+use crate::connection::served::Served;
+use crate::connection::served::ServedFlows;
+use crate::process::vitals::Vitals;
+use crate::request::pace::Load;
+use crate::request::pace::Pace;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
+use crate::version::member::Member;
+use crate::version::member::Standing;
+
+/// Time for the backend server to answer an opening packet.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+/// Time for which an offered packet of an unknown flow may be given back.
+const OFFER_LIFE: Duration = Duration::from_secs(1);
+/// Unknown flows offered at once at most.
+const MAX_OFFERS: usize = 4_096;
+/// Flows told in one datagram.
+const FLOWS_A_DATAGRAM: usize = 30;
+
+/// Why a packet can't be passed to the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotServed {
+    /// The flow is not in the table, which has all flows.
+    Absent,
+    /// The flow is not in the table, but the backend server may have it.
+    Unknown,
+}
+
+/// A packet of an unknown flow that the backend server may give back.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// The home that searches for the flow, unless the entry sent it here.
+    pub home: Option<SocketAddr>,
+    /// Entry that took the packet.
+    pub entry: SocketAddr,
+    at: Moment,
+}
+
+/// The backend server as its agent sees it.
+#[derive(Debug)]
+pub struct Host {
+    member: Option<Arc<Member>>,
+    served: ServedFlows,
+    offers: HashMap<FlowKey, Offer>,
+    pace: Pace,
+    vitals: Vitals,
+    // Whether the table has every flow of the backend server.
+    complete: bool,
+    dead: bool,
+    leaving: bool,
+}
+
+impl Host {
+    /// Opens for a backend server of which nothing is known.
+    pub fn open(complete: bool, now: Moment) -> Self {
+        Self {
+            member: None,
+            served: ServedFlows::default(),
+            offers: HashMap::new(),
+            pace: Pace::open(now),
+            vitals: Vitals::open(now),
+            complete,
+            dead: false,
+            leaving: false,
+        }
+    }
+
+    /// Returns the service of the backend server.
+    pub fn service<'a>(&'a self, desk: &'a Desk) -> &'a Name {
+        self.member.as_ref().map_or(&desk.me.service, |m| &m.service)
+    }
+
+    /// Returns the registered backend server.
+    pub fn member(&self) -> Option<&Arc<Member>> {
+        self.member.as_ref()
+    }
+
+    /// Returns the flow table.
+    pub fn served(&self) -> &ServedFlows {
+        &self.served
+    }
+
+    /// Returns whether the backend server takes new flows.
+    pub fn takes(&self, now: Moment) -> bool {
+        let ready = self.member.as_ref().is_some_and(|m| m.standing == Standing::Ready);
+        ready && !self.leaving && !self.dead && self.vitals.takes_work(now)
+    }
+
+    /// Returns whether the table has every flow of the backend server.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns the load that others are told.
+    pub fn load(&mut self, now: Moment) -> Load {
+        self.pace.load(self.slots(), self.served.count(), now)
+    }
+
+    /// Takes in a planned stop of the agent.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes in what the roster says of the backend server.
+    pub fn enforce(&mut self, desk: &mut Desk, now: Moment) {
+        let member = desk.view.roster.holder(desk.me.backend).cloned();
+        if let (Some(old), Some(new)) = (&self.member, &member)
+            && !old.same_run(new)
+        {
+            // Another run has the address, so the one before it is gone.
+            self.forget_all(desk, now);
+            self.complete = true;
+            self.vitals = Vitals::open(now);
+            self.pace.clear(now);
+        }
+        let changed = match (&self.member, &member) {
+            (Some(old), Some(new)) => !old.same_run(new) || old.standing != new.standing,
+            (old, new) => old.is_some() != new.is_some(),
+        };
+        if changed {
+            let reason = match &member {
+                Some(m) if m.standing == Standing::Ready => None,
+                _ => Some(Reason::Leaving),
+            };
+            let event = Event::of(Decision::Registered).value(desk.view.roster.revision());
+            desk.record(Event { reason, ..event });
+        }
+        // A run that is only missing may come back; what it was still counts.
+        if member.is_some() || desk.view.fresh {
+            self.member = member;
+        }
+    }
+
+    /// Passes an opening packet to the backend server.
+    pub fn offer(
+        &mut self,
+        desk: &mut Desk,
+        packet: &Packet,
+        entry: SocketAddr,
+        placer: Option<SocketAddr>,
+        now: Moment,
+    ) {
+        let flow = packet.segment.flow;
+        if !matches!(self.served.get(&flow), Some(Served::Answered(_) | Served::Established(_)))
+            && !self.served.put(flow, Flow::<Opening>::open(Some(entry), placer, now))
+        {
+            desk.tally.add(Reason::FlowsFull);
+        }
+        desk.step(Step::Backend(packet.clone()));
+    }
+
+    /// Passes a packet of a flow that is served here to the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the packet was not passed on.
+    pub fn deliver(
+        &mut self,
+        desk: &mut Desk,
+        packet: &Packet,
+        entry: SocketAddr,
+        now: Moment,
+    ) -> Result<(), NotServed> {
+        let segment = &packet.segment;
+        let missing = if self.complete { NotServed::Absent } else { NotServed::Unknown };
+        let served = self.served.get_mut(&segment.flow).ok_or(missing)?;
+        match served {
+            Served::Opening(flow) => flow.entry = Some(entry),
+            Served::Answered(flow) if segment.is_opening() => flow.entry = Some(entry),
+            Served::Answered(flow) if segment.acknowledges(flow.state.first) => {
+                *served = flow.establish(now).into();
+            }
+            // The caller chose another backend server that answered too.
+            Served::Answered(_) => return Err(NotServed::Absent),
+            Served::Established(flow) => {
+                let other = |first| segment.marks.acks && !segment.acknowledges(first);
+                if flow.state.first.is_some_and(other) {
+                    return Err(NotServed::Absent);
+                }
+            }
+        }
+        if let Served::Established(flow) = served {
+            flow.entry = Some(entry);
+            if flow.from_caller(segment, now) {
+                self.pace.begin(now);
+            }
+            if segment.marks.aborts {
+                self.end(desk, &segment.flow, now);
+            }
+        }
+        desk.step(Step::Backend(packet.clone()));
+        Ok(())
+    }
+
+    /// Passes a packet of an unknown flow to the backend server, which gives it
+    /// back if it does not have the flow.
+    pub fn try_unknown(
+        &mut self,
+        desk: &mut Desk,
+        packet: &Packet,
+        entry: SocketAddr,
+        home: Option<SocketAddr>,
+        now: Moment,
+    ) {
+        if self.offers.len() >= MAX_OFFERS {
+            desk.tally.add(Reason::HeldFull);
+            return;
+        }
+        self.offers.insert(packet.segment.flow, Offer { home, entry, at: now });
+        desk.step(Step::Backend(packet.clone()));
+    }
+
+    /// Takes out the offer of an unknown flow that was given back.
+    pub fn take_offer(&mut self, flow: &FlowKey) -> Option<Offer> {
+        self.offers.remove(flow)
+    }
+
+    /// Takes in a packet that the backend server sent to a caller.
+    ///
+    /// Returns the flow's state if others have to be told that it is here.
+    pub fn sent(&mut self, desk: &mut Desk, segment: &Segment, now: Moment) -> Option<Served> {
+        self.heard(desk, now);
+        self.offers.remove(&segment.flow);
+        let flow = segment.flow;
+        if segment.marks.aborts {
+            self.end(desk, &flow, now);
+            return None;
+        }
+        let before = self.served.get(&flow).copied();
+        let answers = segment.marks.opens;
+        let after = match before {
+            Some(Served::Opening(f)) if answers => f.answer(segment.seq, now).into(),
+            Some(Served::Answered(f)) if !answers => self.reply(f.establish(now), segment, now),
+            Some(Served::Established(f)) if !answers => self.reply(f, segment, now),
+            None if answers => {
+                Flow::<Opening>::open(None, None, now).answer(segment.seq, now).into()
+            }
+            None | Some(Served::Opening(_)) => {
+                let entry = before.and_then(|s| s.entry());
+                self.reply(Flow::<Established>::learn(entry, None, now), segment, now)
+            }
+            Some(served) => served,
+        };
+        if !self.served.put(flow, after) {
+            desk.tally.add(Reason::FlowsFull);
+        }
+        let news = match &before {
+            None | Some(Served::Opening(_)) => true,
+            Some(Served::Answered(_)) => matches!(after, Served::Answered(_)),
+            Some(Served::Established(_)) => false,
+        };
+        news.then_some(after)
+    }
+
+    fn reply(&mut self, mut flow: Flow<Established>, segment: &Segment, now: Moment) -> Served {
+        if let Some(arrived) = flow.from_backend(segment, now) {
+            let slots = self.slots();
+            self.pace.end(now.since(arrived), slots, now);
+        }
+        flow.into()
+    }
+
+    /// Takes in that the backend server gave an opening packet back; returns
+    /// the agent that placed the flow.
+    pub fn refused_opening(&mut self, flow: &FlowKey) -> Option<Option<SocketAddr>> {
+        match self.served.get(flow) {
+            Some(Served::Opening(f)) => {
+                let placer = f.placer;
+                self.served.remove(flow);
+                Some(placer)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns whether a flow that the backend server gave back was its own,
+    /// so that it is over.
+    pub fn was_ours(&self, segment: &Segment) -> bool {
+        match self.served.get(&segment.flow) {
+            Some(Served::Established(f)) => {
+                f.state.first.is_none_or(|first| segment.acknowledges(first))
+            }
+            Some(Served::Answered(f)) => segment.acknowledges(f.state.first),
+            _ => false,
+        }
+    }
+
+    /// Takes in a sign of life of the backend server.
+    pub fn heard(&mut self, desk: &mut Desk, now: Moment) {
+        self.vitals.heard(now);
+        if std::mem::take(&mut self.dead) {
+            desk.record(Event::of(Decision::BackendBack));
+        }
+    }
+
+    /// Takes in that the backend server's address refuses packets.
+    pub fn refused(&mut self, now: Moment) {
+        self.vitals.refused(now);
+    }
+
+    /// Starts over after a pause of this process.
+    pub fn woke(&mut self, now: Moment) {
+        self.vitals.woke(now);
+    }
+
+    /// Ends a flow.
+    pub fn end(&mut self, desk: &mut Desk, flow: &FlowKey, now: Moment) {
+        let Some(served) = self.served.remove(flow) else { return };
+        self.ended(desk, flow, &served, now);
+    }
+
+    /// Takes in flows that an earlier run of this agent had.
+    pub fn recover(&mut self, desk: &mut Desk, flows: &[(FlowKey, Option<u32>)], now: Moment) {
+        let mut count = 0;
+        for (flow, first) in flows {
+            if self.served.get(flow).is_none() {
+                self.served.put(*flow, Flow::<Established>::learn(None, *first, now));
+                count += 1;
+            }
+        }
+        desk.record(Event::of(Decision::Recovered).value(count));
+    }
+
+    /// Returns claims of the flows that `wanted` selects, in datagrams.
+    pub fn claims(&mut self, wanted: impl Fn(&FlowKey) -> bool, now: Moment) -> Vec<Message> {
+        let load = self.load(now);
+        let claimed = |s: &Served| !matches!(s, Served::Opening(_));
+        let flows: Vec<_> = self
+            .served
+            .iter()
+            .filter(|(flow, served)| claimed(served) && wanted(flow))
+            .map(|(flow, served)| (*flow, served.first()))
+            .collect();
+        let claim = |part: &[_]| Message::Claim { flows: part.to_vec(), load };
+        flows.chunks(FLOWS_A_DATAGRAM).map(claim).collect()
+    }
+
+    /// Does what is due by time; returns opening packets that were not answered.
+    pub fn tick(&mut self, desk: &mut Desk, now: Moment) -> Vec<(FlowKey, Flow<Opening>)> {
+        let late = self.served.unanswered(now - ANSWER_TIMEOUT);
+        for (flow, _) in &late {
+            self.served.remove(flow);
+            if self.vitals.missed(now) {
+                let event = Event::of(Decision::BackendSilent).why(Reason::Shed);
+                desk.record(event.flow(*flow));
+            }
+        }
+        if !self.dead && self.vitals.is_dead(now) {
+            self.dead = true;
+            desk.record(Event::of(Decision::BackendDead).value(self.served.count() as u64));
+            self.forget_all(desk, now);
+            self.complete = true;
+        }
+        late
+    }
+
+    /// Forgets what is no longer used.
+    pub fn expire(&mut self, desk: &mut Desk, now: Moment) {
+        for (flow, served) in self.served.expire(desk.idle(), now) {
+            self.ended(desk, &flow, &served, now);
+        }
+        self.offers.retain(|_, o| now.since(o.at) < OFFER_LIFE);
+    }
+
+    fn slots(&self) -> u32 {
+        self.member.as_ref().map_or(1, |m| m.slots)
+    }
+
+    fn ended(&mut self, desk: &mut Desk, flow: &FlowKey, served: &Served, now: Moment) {
+        if let Served::Established(f) = served
+            && f.state.request.is_some()
+        {
+            self.pace.drop_one(now);
+        }
+        if matches!(served, Served::Opening(_)) {
+            return;
+        }
+        let service = self.service(desk).clone();
+        for home in desk.homes(&service, flow) {
+            if home != desk.me.link {
+                desk.send(home, Message::Release { flow: *flow });
+            }
+        }
+    }
+
+    /// Resets the flows of a backend server that is gone.
+    fn forget_all(&mut self, desk: &mut Desk, now: Moment) {
+        let flows: Vec<_> = self.served.drain().collect();
+        for (flow, served) in flows {
+            if let Served::Established(f) = &served
+                && !f.is_closed()
+            {
+                desk.record(Event::of(Decision::Reset).why(Reason::NotHere).flow(flow));
+                desk.step(Step::Reset { flow, seq: f.state.ack });
+            }
+            self.ended(desk, &flow, &served, now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/front/packet/placer.rs
@@ -0,0 +1,179 @@
+//! Placing of flows that open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::desk::Desk;
+use super::event::Decision;
+use super::event::Event;
+use super::host::Host;
+use super::message::Message;
+use super::step::Step;
+use crate::connection::flow::FlowKey;
+use crate::connection::placing::MAX_OFFERS;
+use crate::connection::placing::OFFER_TIMEOUT;
+use crate::connection::placing::Placing;
+use crate::connection::placing::Placings;
+use crate::process::neighbours::Neighbours;
+use crate::request::pace::Load;
+use crate::value::moment::Moment;
+use crate::value::reason::Reason;
+use crate::version::member::Member;
+use crate::version::member::Standing;
+
+/// Advantage of a backend server in the caller's failure domain: answers that
+/// cross domains take longer and are paid for.
+const OTHER_DOMAIN: Duration = Duration::from_millis(3);
+/// Disadvantage of a backend server whose agent was not heard lately.
+const UNHEARD: Duration = Duration::from_millis(50);
+/// Random part of the expected completion, so that several homes don't choose
+/// the same backend server at the same time.
+const JITTER: f64 = 0.05;
+
+/// Chooses backend servers for flows that open.
+#[derive(Debug)]
+pub struct Placer {
+    placings: Placings,
+    /// What other agents say of themselves.
+    pub neighbours: Neighbours,
+    rng: Pcg64Mcg,
+}
+
+impl Placer {
+    /// Opens with a seed for random choices.
+    pub fn open(seed: u64) -> Self {
+        Self {
+            placings: Placings::default(),
+            neighbours: Neighbours::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Offers an opening packet to the best backend server that it was not
+    /// offered to.
+    pub fn place(&mut self, desk: &mut Desk, host: &mut Host, mut placing: Placing, now: Moment) {
+        let flow = placing.packet.segment.flow;
+        let choice = self.choose(desk, host, &placing, now);
+        let Some((link, cost)) = choice.filter(|_| placing.tried.len() < MAX_OFFERS) else {
+            self.give_up(desk, placing);
+            return;
+        };
+        let decision = match placing.tried.len() {
+            0 => Event::of(Decision::Placed),
+            _ => Event::of(Decision::Replaced).why(Reason::RetryElsewhere),
+        };
+        desk.record(decision.flow(flow).peer(link).value(cost as u64));
+        placing.tried.push(link);
+        placing.due = now + OFFER_TIMEOUT;
+        if link == desk.me.link {
+            host.offer(desk, &placing.packet, placing.entry, None, now);
+        } else {
+            self.neighbours.charge(link);
+            let service = placing.service.clone();
+            let message = Message::Place { entry: placing.entry, service };
+            desk.pass(link, message, &placing.packet);
+        }
+        self.placings.start(placing);
+    }
+
+    /// Takes in that an offer was taken.
+    pub fn taken(&mut self, flow: &FlowKey) {
+        self.placings.end(flow);
+    }
+
+    /// Takes in that an offer was declined.
+    pub fn declined(&mut self, desk: &mut Desk, host: &mut Host, flow: &FlowKey, now: Moment) {
+        if let Some(placing) = self.placings.end(flow) {
+            self.place(desk, host, placing, now);
+        }
+    }
+
+    /// Ends a placement, to start it anew with a copy of the opening packet.
+    pub fn end(&mut self, flow: &FlowKey) -> Option<Placing> {
+        self.placings.end(flow)
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, desk: &mut Desk, host: &mut Host, now: Moment) {
+        for placing in self.placings.overdue(now) {
+            if let Some(link) = placing.tried.last() {
+                self.neighbours.suspect(*link, now);
+            }
+            self.place(desk, host, placing, now);
+        }
+    }
+
+    /// Returns whether placements are going on.
+    pub fn is_waiting(&self) -> bool {
+        !self.placings.is_empty()
+    }
+
+    fn choose(
+        &mut self,
+        desk: &Desk,
+        host: &mut Host,
+        placing: &Placing,
+        now: Moment,
+    ) -> Option<(SocketAddr, f64)> {
+        let crew = desk.view.roster.crew(&placing.service)?;
+        let mut best: Option<(SocketAddr, f64)> = None;
+        for member in crew.members() {
+            let link = desk.link(member);
+            if placing.tried.contains(&link) {
+                continue;
+            }
+            let Some(cost) = self.cost(desk, host, member, link, now) else { continue };
+            let mut cost = cost * self.rng.random_range(1.0..1.0 + JITTER);
+            if member.domain != placing.domain {
+                cost += OTHER_DOMAIN.as_micros() as f64;
+            }
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((link, cost));
+            }
+        }
+        best
+    }
+
+    /// Returns the expected completion in microseconds; none if the backend
+    /// server takes nothing new.
+    fn cost(
+        &self,
+        desk: &Desk,
+        host: &mut Host,
+        member: &Member,
+        link: SocketAddr,
+        now: Moment,
+    ) -> Option<f64> {
+        if member.standing != Standing::Ready {
+            return None;
+        }
+        if link == desk.me.link {
+            return host.takes(now).then(|| host.load(now).completion(0));
+        }
+        if self.neighbours.is_suspect(link, now) {
+            return None;
+        }
+        match self.neighbours.get(link) {
+            Some(n) if !n.takes || n.service != member.service => None,
+            Some(n) => Some(n.load.completion(n.charged)),
+            None => Some(Load::unknown(member.slots).completion(0) + UNHEARD.as_micros() as f64),
+        }
+    }
+
+    /// Ends a placement that no backend server took.
+    fn give_up(&mut self, desk: &mut Desk, placing: Placing) {
+        let flow = placing.packet.segment.flow;
+        // An offer that was not answered may still be: the caller sends a copy.
+        let silent = placing.tried.iter().any(|l| self.neighbours.get(*l).is_none());
+        if silent {
+            desk.record(Event::of(Decision::Dropped).why(Reason::NoBackend).flow(flow));
+            return;
+        }
+        desk.record(Event::of(Decision::Refused).why(Reason::NoBackend).flow(flow));
+        desk.step(Step::Reset { flow, seq: 0 });
+    }
+}
--- a/lib/src/process/action.rs
+++ b/lib/src/process/action.rs
@@ -3,11 +3,11 @@
 use crate::connection::flow::FlowKey;
 use crate::process::message::Message;
 use crate::process::message::Via;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
 use crate::process::notice::Notice;
 use crate::request::answer::Answer;
 use crate::request::message::Request;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// One thing to do.
 #[derive(Clone, Debug, PartialEq)]
--- a/lib/src/process/explained.rs
+++ b/lib/src/process/explained.rs
@@ -1,7 +1,7 @@
 //! What operators are shown of one flow.
 
-use super::name::Name;
 use crate::connection::stamp::Stamp;
+use crate::value::name::Name;
 
 /// What operators are shown of one flow.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/lib/src/process/gossip.rs
+++ b/lib/src/process/gossip.rs
@@ -7,10 +7,10 @@
 use rand::Rng;
 
 use super::message::Message;
-use super::moment::Moment;
-use super::name::Name;
 use super::notice::Notice;
 use super::rumors::Rumors;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 use crate::version::backend::Backend;
 use crate::version::manifest::InForce;
 use crate::version::manifest::Manifest;
--- a/lib/src/process/heartbeat.rs
+++ b/lib/src/process/heartbeat.rs
@@ -2,9 +2,9 @@
 
 use super::context::Context;
 use super::message::Message;
-use super::moment::Moment;
 use super::peers::HEARTBEAT;
 use super::peers::Peers;
+use crate::value::moment::Moment;
 
 /// When the next heartbeat is sent.
 #[derive(Clone, Copy, Debug, Default)]
--- a/lib/src/process/life.rs
+++ b/lib/src/process/life.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::moment::Moment;
+use crate::value::moment::Moment;
 
 /// The settings are checked and nothing is bound yet.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/process/live.rs
+++ b/lib/src/process/live.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::moment::Moment;
-use super::name::Name;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Reads in a row that must lack a VM that was listed before.
 const ABSENT_READS: u32 = 2;
--- a/lib/src/process/message.rs
+++ b/lib/src/process/message.rs
@@ -7,9 +7,6 @@
 use serde::Serialize;
 
 use super::health::Health;
-use super::incarnation::Incarnation;
-use super::moment::Moment;
-use super::name::Name;
 use super::notice::Notice;
 use crate::connection::channel::Moved;
 use crate::connection::flow::FlowKey;
@@ -19,6 +16,9 @@
 use crate::request::grant::Holder;
 use crate::request::key::RequestKey;
 use crate::request::witness::Vote;
+use crate::value::incarnation::Incarnation;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 use crate::version::backend::Backend;
 use crate::version::membership::Membership;
 
--- a/lib/src/process/notice.rs
+++ b/lib/src/process/notice.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::name::Name;
+use crate::value::name::Name;
 
 /// A statement that an agent does or does not answer its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/process/peers.rs
+++ b/lib/src/process/peers.rs
@@ -7,9 +7,9 @@
 use rand::Rng;
 
 use super::health::Health;
-use super::incarnation::Incarnation;
-use super::moment::Moment;
-use super::name::Name;
+use crate::value::incarnation::Incarnation;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Time between two heartbeats.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
--- a/lib/src/process/recovery.rs
+++ b/lib/src/process/recovery.rs
@@ -4,10 +4,10 @@
 
 use super::context::Context;
 use super::message::Message;
-use super::moment::Moment;
-use super::reason::Reason;
 use crate::connection::router::Router;
 use crate::request::votes::Votes;
+use crate::value::moment::Moment;
+use crate::value::reason::Reason;
 
 /// Time after which a silent peer is asked again at first.
 const FIRST_AGAIN: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/lib/src/process/registry.rs
@@ -0,0 +1,166 @@
+//! What this process believes of the registered backend servers over time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::version::member::Member;
+use crate::version::roster::Roster;
+
+/// Time after the source's return within which entries that lapsed meanwhile
+/// are written again; the platform's pages say about two seconds.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Removed entries whose revision is remembered.
+const MAX_REMOVED: usize = 4_096;
+
+/// A backend server's entry with the revision at which it was written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The backend server.
+    pub member: Member,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// One change of the registered backend servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A backend server registered itself, or changed what it says.
+    Set(Entry),
+    /// An entry was removed, or can no longer be read.
+    Removed {
+        /// Name of the backend server.
+        name: Name,
+        /// The revision of the removal.
+        revision: u64,
+    },
+}
+
+/// All entries at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The revision; entries may be later.
+    pub revision: u64,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+/// The registered backend servers, and those whose entry is missing but may
+/// come back.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    revision: u64,
+    present: BTreeMap<Name, Entry>,
+    // Missing entries, with the time until which they may come back.
+    lapsed: BTreeMap<Name, (Entry, Moment)>,
+    // News from peers and from the source cross, so an older removal or entry
+    // must not undo a later one.
+    removed: BTreeMap<Name, u64>,
+    // The source failed at some time before this moment.
+    unsure_until: Moment,
+    // Between a failure and the next success nothing that is missing is gone.
+    failing: bool,
+}
+
+impl Registry {
+    /// Takes in that the source could not be read.
+    pub fn failed(&mut self) {
+        self.failing = true;
+    }
+
+    /// Takes in that the source answered.
+    pub fn answered(&mut self, now: Moment) {
+        if std::mem::take(&mut self.failing) {
+            self.unsure_until = now + RETURN_GRACE;
+            for (_, until) in self.lapsed.values_mut() {
+                *until = self.unsure_until;
+            }
+        }
+    }
+
+    /// Takes in changes up to `revision`; returns whether anything is new.
+    pub fn change(&mut self, revision: u64, changes: Vec<Change>, now: Moment) -> bool {
+        self.revision = self.revision.max(revision);
+        let mut news = false;
+        for change in changes {
+            news |= match change {
+                Change::Set(entry) => self.set(entry),
+                Change::Removed { name, revision } => self.remove(&name, revision, now),
+            };
+        }
+        news
+    }
+
+    /// Takes in a whole listing; returns whether anything is new.
+    pub fn replace(&mut self, listing: Listing, now: Moment) -> bool {
+        let Listing { revision, entries } = listing;
+        let listed = |name: &Name| entries.iter().any(|e| e.member.name == *name);
+        let missing: Vec<_> = self.present.keys().filter(|n| !listed(n)).cloned().collect();
+        let removed = |name| Change::Removed { name, revision };
+        let mut changes: Vec<_> = missing.into_iter().map(removed).collect();
+        changes.extend(entries.into_iter().map(Change::Set));
+        self.change(revision, changes, now)
+    }
+
+    /// Gives up entries that did not come back; returns whether any was.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        if self.failing {
+            return false;
+        }
+        let before = self.lapsed.len();
+        self.lapsed.retain(|_, (_, until)| *until > now);
+        self.lapsed.len() < before
+    }
+
+    /// Returns the roster: registered backend servers and those that may come back.
+    pub fn roster(&self) -> Roster {
+        let lapsed = self.lapsed.values().map(|(entry, _)| entry);
+        let entries = self.present.values().chain(lapsed);
+        Roster::open(self.revision, entries.map(|e| e.member.clone()))
+    }
+
+    /// Returns what a peer needs to know as much.
+    pub fn listing(&self) -> Listing {
+        Listing { revision: self.revision, entries: self.present.values().cloned().collect() }
+    }
+
+    /// Returns the revision up to which changes were taken in.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn set(&mut self, entry: Entry) -> bool {
+        let name = entry.member.name.clone();
+        let known = self.present.get(&name).map(|e| e.revision);
+        let last = known.or(self.removed.get(&name).copied());
+        if last.is_some_and(|last| entry.revision < last) {
+            return false;
+        }
+        self.removed.remove(&name);
+        let lapsed = self.lapsed.remove(&name).is_some();
+        let member = entry.member.clone();
+        let old = self.present.insert(name, entry);
+        lapsed || old.is_none_or(|o| o.member != member)
+    }
+
+    fn remove(&mut self, name: &Name, revision: u64, now: Moment) -> bool {
+        let Some(entry) = self.present.get(name) else { return false };
+        if revision < entry.revision {
+            return false;
+        }
+        let Some(entry) = self.present.remove(name) else { return false };
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_first();
+        }
+        self.removed.insert(name.clone(), revision);
+        if self.failing || now < self.unsure_until {
+            self.lapsed.insert(name.clone(), (entry, self.unsure_until));
+        }
+        true
+    }
+}
--- a/lib/src/process/rumors.rs
+++ b/lib/src/process/rumors.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use super::name::Name;
 use super::notice::Notice;
+use crate::value::name::Name;
 
 /// Times that a process passes a notice on; with two receivers a round, fewer
 /// than one process in 1,000 misses a notice that each passes on eight times.
--- /dev/null
+++ b/lib/src/process/view.rs
@@ -0,0 +1,19 @@
+//! What a process knows of routes and backend servers.
+
+use std::sync::Arc;
+
+use crate::version::roster::Roster;
+use crate::version::routes::InForce;
+use crate::version::routes::Routes;
+
+/// One state of knowledge; built by the control thread, shared with traffic threads.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The routes in force; version 0 before the first.
+    pub routes: Arc<Routes<InForce>>,
+    /// The registered backend servers.
+    pub roster: Arc<Roster>,
+    /// Whether the source of both answered lately, so that a missing backend
+    /// server is known to be missing.
+    pub fresh: bool,
+}
--- a/lib/src/process/wakeup.rs
+++ b/lib/src/process/wakeup.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::moment::Moment;
+use crate::value::moment::Moment;
 
 /// Time without a sign of running after which a process counts as paused.
 const PAUSE: Duration = Duration::from_secs(1);
--- a/lib/src/request/admission.rs
+++ b/lib/src/request/admission.rs
@@ -6,9 +6,9 @@
 
 use super::cost::Costs;
 use super::key::RequestKey;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Pieces of work that wait at most, per slot.
 const QUEUED_PER_SLOT: usize = 64;
--- a/lib/src/request/answer.rs
+++ b/lib/src/request/answer.rs
@@ -8,7 +8,7 @@
 
 use super::message::Block;
 use super::token::Token;
-use crate::process::reason::Reason;
+use crate::value::reason::Reason;
 
 /// Outcome of a request.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/request/ballot.rs
+++ b/lib/src/request/ballot.rs
@@ -7,9 +7,9 @@
 use super::grant::Holder;
 use super::key::RequestKey;
 use crate::process::context::Context;
-use crate::process::incarnation::Incarnation;
-use crate::process::name::Name;
 use crate::process::safeguard::Safeguard;
+use crate::value::incarnation::Incarnation;
+use crate::value::name::Name;
 use crate::version::membership::Membership;
 
 /// Witnesses of a request, fewer where the service has fewer members.
--- a/lib/src/request/cost.rs
+++ b/lib/src/request/cost.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// Weight of a new sample in the running mean.
 const GAIN: f64 = 0.1;
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -11,8 +11,8 @@
 use crate::process::message::Message;
 use crate::process::message::Mode;
 use crate::process::message::Pass;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Where a request stands.
 #[derive(Clone, Debug)]
--- a/lib/src/request/exchanges.rs
+++ b/lib/src/request/exchanges.rs
@@ -12,10 +12,10 @@
 use super::run::Held;
 use super::run::Run;
 use super::run::Started;
-use crate::process::incarnation::Incarnation;
 use crate::process::message::Mode;
 use crate::process::message::Pass;
-use crate::process::moment::Moment;
+use crate::value::incarnation::Incarnation;
+use crate::value::moment::Moment;
 
 /// Requests kept at most; further ones are dropped, none is forgotten early.
 pub const MAX_EXCHANGES: usize = 65_536;
--- a/lib/src/request/freshness.rs
+++ b/lib/src/request/freshness.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::process::moment::Moment;
+use crate::value::moment::Moment;
 
 /// Difference between the clocks of two VMs at most.
 pub const MAX_SKEW: Duration = Duration::from_secs(1);
--- a/lib/src/request/grant.rs
+++ b/lib/src/request/grant.rs
@@ -4,8 +4,8 @@
 use serde::Serialize;
 
 use super::key::RequestKey;
-use crate::process::incarnation::Incarnation;
-use crate::process::name::Name;
+use crate::value::incarnation::Incarnation;
+use crate::value::name::Name;
 
 /// One run of an agent that may run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/request/lending.rs
+++ b/lib/src/request/lending.rs
@@ -4,8 +4,8 @@
 
 use super::budget::Budget;
 use crate::process::context::Context;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Gain in completion time that makes up for handing work to a peer.
 const MARGIN: Duration = Duration::from_millis(2);
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::token::Token;
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// Method of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod lending;
 pub mod message;
+pub mod pace;
 pub mod requests;
 pub mod run;
 pub mod token;
--- a/lib/src/request/requests.rs
+++ b/lib/src/request/requests.rs
@@ -22,14 +22,14 @@
 use super::witness::Vote;
 use crate::process::action::Action;
 use crate::process::context::Context;
-use crate::process::incarnation::Incarnation;
 use crate::process::message::Message;
 use crate::process::message::Mode;
 use crate::process::message::Pass;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
 use crate::process::safeguard::Safeguard;
+use crate::value::incarnation::Incarnation;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Time after which a silent witness is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
--- a/lib/src/request/run.rs
+++ b/lib/src/request/run.rs
@@ -7,8 +7,8 @@
 use super::answer::Code;
 use super::ballot::Ballot;
 use super::message::Request;
-use crate::process::moment::Moment;
-use crate::process::reason::Reason;
+use crate::value::moment::Moment;
+use crate::value::reason::Reason;
 
 /// Votes are being gathered.
 #[derive(Clone, Debug)]
--- a/lib/src/request/votes.rs
+++ b/lib/src/request/votes.rs
@@ -10,10 +10,10 @@
 use super::witness::Vote;
 use super::witness::Witness;
 use crate::process::context::Context;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
-use crate::process::reason::Reason;
 use crate::process::safeguard::Safeguard;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::value::reason::Reason;
 use crate::version::membership::Membership;
 
 #[derive(Debug)]
--- a/lib/src/request/witness.rs
+++ b/lib/src/request/witness.rs
@@ -10,7 +10,7 @@
 use super::grant::Grant;
 use super::grant::Holder;
 use super::key::RequestKey;
-use crate::process::moment::Moment;
+use crate::value::moment::Moment;
 
 /// Grants remembered at most; further requests are refused, none is forgotten.
 pub const MAX_GRANTS: usize = 200_000;
--- /dev/null
+++ b/lib/src/value/mod.rs
@@ -0,0 +1,8 @@
+//! Values without a life span of their own, which all other folders use.
+
+pub mod findings;
+pub mod incarnation;
+pub mod moment;
+pub mod name;
+pub mod reason;
+pub mod tally;
--- a/lib/src/version/backend.rs
+++ b/lib/src/version/backend.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// A backend server and the agent beside it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/lib/src/version/doc.rs
+++ b/lib/src/version/doc.rs
@@ -10,7 +10,7 @@
 
 use super::backend::Backend;
 use super::path::PathRule;
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// Deadline of a path that has no rule of its own.
 pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
--- a/lib/src/version/index.rs
+++ b/lib/src/version/index.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// The index of the manifest: what to read, and in which revision.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/lib/src/version/joint.rs
+++ b/lib/src/version/joint.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use super::membership::Membership;
-use crate::process::moment::Moment;
-use crate::process::name::Name;
 use crate::request::freshness::Freshness;
+use crate::value::moment::Moment;
+use crate::value::name::Name;
 
 /// Memberships kept open at most; the check of a run gets no weaker, as work
 /// is refused while more would be needed.
--- a/lib/src/version/manifest.rs
+++ b/lib/src/version/manifest.rs
@@ -8,10 +8,10 @@
 
 use super::backend::Backend;
 use super::doc::Doc;
-use super::findings::Findings;
 use super::index::Index;
 use super::membership::Membership;
-use crate::process::name::Name;
+use crate::value::findings::Findings;
+use crate::value::name::Name;
 
 /// Greatest weight of a backend server.
 const MAX_WEIGHT: u32 = 1_000;
--- a/lib/src/version/membership.rs
+++ b/lib/src/version/membership.rs
@@ -8,7 +8,7 @@
 use super::backend::Backend;
 use super::doc::Doc;
 use super::rank::Ranking;
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// Members of a service under one revision; shared and never changed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -1,11 +1,14 @@
-//! State that lives as long as one version of the manifest.
+//! State that lives as long as one version of what operators publish.
 
 pub mod backend;
 pub mod doc;
-pub mod findings;
 pub mod index;
 pub mod joint;
 pub mod manifest;
+pub mod member;
 pub mod membership;
 pub mod path;
 pub mod rank;
+pub mod roster;
+pub mod route;
+pub mod routes;
--- a/lib/src/version/path.rs
+++ b/lib/src/version/path.rs
@@ -7,7 +7,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
-use crate::process::name::Name;
+use crate::value::name::Name;
 
 /// Limits for requests to one path.
 #[serde_as]
--- a/lib/src/version/rank.rs
+++ b/lib/src/version/rank.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::backend::Backend;
+use crate::value::name::Name;
 
 /// Ranks members for a key; every process with the same members agrees.
 #[derive(Clone, Debug)]
@@ -23,12 +24,18 @@
 impl Ranking {
     /// Opens a ranking of `members`.
     pub fn open(members: &[Backend]) -> Self {
-        let seat = |b: &Backend| Seat {
-            seed: xxh3_64(b.name.as_str().as_bytes()),
-            weight: f64::from(b.weight),
+        Self::weighted(members.iter().map(|b| (&b.name, b.weight)))
+    }
+
+    /// Opens a ranking of members given by name and weight.
+    pub fn weighted<'a>(members: impl Iterator<Item = (&'a Name, u32)>) -> Self {
+        let seat = |(name, weight): (&Name, u32)| Seat {
+            seed: xxh3_64(name.as_str().as_bytes()),
+            weight: f64::from(weight),
         };
-        let alike = members.windows(2).all(|pair| pair[0].weight == pair[1].weight);
-        Self { seats: members.iter().map(seat).collect(), alike }
+        let seats: Vec<_> = members.map(seat).collect();
+        let alike = seats.windows(2).all(|pair| pair[0].weight == pair[1].weight);
+        Self { seats, alike }
     }
 
     /// Returns the index of the member with the highest score.
--- /dev/null
+++ b/lib/src/version/roster.rs
@@ -0,0 +1,93 @@
+//! The registered backend servers at one revision.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::member::Member;
+use super::rank::Ranking;
+use crate::value::name::Name;
+
+/// The members of one service, ranked for each flow.
+#[derive(Clone, Debug)]
+pub struct Crew {
+    members: Vec<Arc<Member>>,
+    ranking: Ranking,
+}
+
+/// All registered backend servers; shared and never changed.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    revision: u64,
+    members: Vec<Arc<Member>>,
+    crews: BTreeMap<Name, Crew>,
+    by_address: HashMap<SocketAddr, Arc<Member>>,
+}
+
+impl Crew {
+    fn open(members: Vec<Arc<Member>>) -> Self {
+        let ranking = Ranking::weighted(members.iter().map(|m| (&m.name, 1)));
+        Self { members, ranking }
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> &[Arc<Member>] {
+        &self.members
+    }
+
+    /// Returns the `count` first members for the hashed key, best rank first.
+    pub fn ranks(&self, key: u64, count: usize) -> impl Iterator<Item = &Arc<Member>> {
+        self.ranking.first(key, count).into_iter().map(|i| &self.members[i])
+    }
+}
+
+impl Roster {
+    /// Opens the roster of `members` at `revision`.
+    ///
+    /// Where two members claim one address, the one that was born last holds
+    /// it: addresses are used again, also by other services.
+    pub fn open(revision: u64, members: impl IntoIterator<Item = Member>) -> Self {
+        let mut by_address: HashMap<SocketAddr, Arc<Member>> = HashMap::new();
+        for member in members {
+            let holder = by_address.get(&member.address);
+            if holder.is_none_or(|h| h.born <= member.born) {
+                by_address.insert(member.address, Arc::new(member));
+            }
+        }
+        let mut members: Vec<_> = by_address.values().cloned().collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut services: BTreeMap<Name, Vec<Arc<Member>>> = BTreeMap::new();
+        for member in &members {
+            services.entry(member.service.clone()).or_default().push(member.clone());
+        }
+        let crews = services.into_iter().map(|(name, list)| (name, Crew::open(list))).collect();
+        Self { revision, members, crews, by_address }
+    }
+
+    /// Returns the revision that the roster was read at.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns all members, by name.
+    pub fn members(&self) -> &[Arc<Member>] {
+        &self.members
+    }
+
+    /// Returns the members of a service.
+    pub fn crew(&self, service: &Name) -> Option<&Crew> {
+        self.crews.get(service)
+    }
+
+    /// Returns the member that holds `address`.
+    pub fn holder(&self, address: SocketAddr) -> Option<&Arc<Member>> {
+        self.by_address.get(&address)
+    }
+
+    /// Returns the member on the VM with address `ip`.
+    pub fn on_vm(&self, ip: IpAddr) -> Option<&Arc<Member>> {
+        self.members.iter().find(|m| m.address.ip() == ip)
+    }
+}
--- a/lib/tests/at_most_once.rs
+++ b/lib/tests/at_most_once.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::flow::Protocol;
-use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::process::safeguard::Safeguard;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_testutils::docs;
 use lagoonhollow_testutils::property::holds_times;
@@ -106,7 +106,7 @@
         world.without = without;
         let names = world.agents();
         if let Some(safeguard) = without {
-            let now = lagoonhollow_lib::process::moment::Moment(0);
+            let now = lagoonhollow_lib::value::moment::Moment(0);
             for name in &names {
                 world.agent(name).into_iter().for_each(|a| a.without(safeguard, now));
             }
--- a/lib/tests/failures.rs
+++ b/lib/tests/failures.rs
@@ -4,8 +4,8 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
-use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::request::answer::Code;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_testutils::docs;
 use lagoonhollow_testutils::world::World;
 
--- a/lib/tests/isolation.rs
+++ b/lib/tests/isolation.rs
@@ -4,7 +4,7 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_testutils::docs;
 use lagoonhollow_testutils::world::World;
 
--- a/lib/tests/versions.rs
+++ b/lib/tests/versions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_lib::version::index::Index;
 use lagoonhollow_lib::version::manifest::Manifest;
--- a/testutils/src/backend.rs
+++ b/testutils/src/backend.rs
@@ -11,12 +11,12 @@
 use std::thread;
 use std::time::Duration;
 
-use lagoonhollow_lib::process::reason::Reason;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::message::Block;
 use lagoonhollow_lib::request::message::Method;
 use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_wire::backend;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
--- a/testutils/src/docs.rs
+++ b/testutils/src/docs.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::findings::Findings;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::backend::Backend;
 use lagoonhollow_lib::version::doc::Doc;
-use lagoonhollow_lib::version::findings::Findings;
 use lagoonhollow_lib::version::index::Index;
 use lagoonhollow_lib::version::manifest::InForce;
 use lagoonhollow_lib::version::manifest::Manifest;
--- a/testutils/src/platform.rs
+++ b/testutils/src/platform.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lagoonhollow_lib::process::name::Name;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::doc::Doc;
 use lagoonhollow_lib::version::index::Index;
 use ntex::web;
--- a/testutils/src/world/call.rs
+++ b/testutils/src/world/call.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
-use lagoonhollow_lib::process::moment::Moment;
-use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::key::RequestKey;
 use lagoonhollow_lib::request::message::Method;
 use lagoonhollow_lib::request::message::Request;
 use lagoonhollow_lib::request::token::Token;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::name::Name;
 
 /// Path of work that takes much longer.
 pub const LONG_PATH: &str = "firmware";
--- a/testutils/src/world/events.rs
+++ b/testutils/src/world/events.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
-use lagoonhollow_lib::process::moment::Moment;
-use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::key::RequestKey;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::name::Name;
 
 /// One thing that happens.
 #[derive(Clone, Debug)]
--- a/testutils/src/world/node.rs
+++ b/testutils/src/world/node.rs
@@ -6,12 +6,12 @@
 
 use lagoonhollow_lib::process::agent::Agent;
 use lagoonhollow_lib::process::gossip::Gossip;
-use lagoonhollow_lib::process::incarnation::Incarnation;
-use lagoonhollow_lib::process::moment::Moment;
-use lagoonhollow_lib::process::name::Name;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::message::Request;
+use lagoonhollow_lib::value::incarnation::Incarnation;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::manifest::InForce;
 use lagoonhollow_lib::version::manifest::Manifest;
 use rand::SeedableRng;
--- a/wire/src/coap.rs
+++ b/wire/src/coap.rs
@@ -10,14 +10,14 @@
 use coap_lite::block_handler::BlockValue;
 use derive_more::Display;
 use derive_more::Error;
-use lagoonhollow_lib::process::name::Name;
-use lagoonhollow_lib::process::reason::Reason;
 use lagoonhollow_lib::request::answer::Answer;
 use lagoonhollow_lib::request::answer::Code;
 use lagoonhollow_lib::request::message::Block;
 use lagoonhollow_lib::request::message::Method;
 use lagoonhollow_lib::request::message::Request;
 use lagoonhollow_lib::request::token::Token;
+use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::value::reason::Reason;
 
 /// Query key of the time left for an answer.
 pub const DEADLINE_QUERY: &str = "deadline_ms=";
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod caller;
 pub mod coap;
 pub mod control;
+pub mod relay;
 pub mod seal;
--- a/wire/tests/encodings.rs
+++ b/wire/tests/encodings.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use lagoonhollow_lib::process::incarnation::Incarnation;
 use lagoonhollow_lib::process::message::Envelope;
 use lagoonhollow_lib::process::message::Message;
 use lagoonhollow_lib::request::answer::Answer;
@@ -12,6 +11,7 @@
 use lagoonhollow_lib::request::message::Method;
 use lagoonhollow_lib::request::message::Request;
 use lagoonhollow_lib::request::token::Token;
+use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_testutils::property::holds;
 use lagoonhollow_wire::backend;
 use lagoonhollow_wire::caller;
@@ -107,7 +107,7 @@
 
 #[test]
 fn refusals_say_why_to_the_caller() {
-    use lagoonhollow_lib::process::reason::Reason;
+    use lagoonhollow_lib::value::reason::Reason;
     let answer = Answer::bare(Token::default(), Code::NotRun(Reason::Deadline));
     let raw = caller::encode_answer(9, &answer).unwrap();
     let (id, confirm, read) = caller::decode_answer(&raw).unwrap();
