--- /dev/null
+++ b/lib/tests/packets.rs
@@ -0,0 +1,287 @@
+//! Flows of packets under planned changes and failures, in virtual time.
+
+use std::time::Duration;
+
+use lagoonhollow_lib::front::packet::event::Decision;
+use lagoonhollow_lib::version::route::Share;
+use lagoonhollow_testutils::packets::caller::End;
+use lagoonhollow_testutils::packets::caller::Plan;
+use lagoonhollow_testutils::packets::world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+const SEEDS: u64 = 20;
+
+/// One request on a flow of its own.
+const REPORT: Plan =
+    Plan { requests: 1, pause: Duration::ZERO, work: Duration::from_millis(30), deadline: SECOND };
+
+/// Many requests on one flow, over about 20 s.
+const CHANNEL: Plan = Plan {
+    requests: 60,
+    pause: Duration::from_millis(300),
+    work: Duration::from_millis(20),
+    deadline: Duration::from_secs(4),
+};
+
+/// Opens a fleet that has settled, with `channels` open channels to the first service.
+fn fleet(seed: u64, channels: usize) -> World {
+    let mut world = World::open(seed, 3, &[("alarm", 5), ("firmware", 3)]);
+    world.run(SECOND * 2);
+    for i in 0..channels {
+        world.call(0, CHANNEL, Duration::from_millis(10 * i as u64));
+    }
+    world.run(SECOND);
+    world
+}
+
+/// Calls the first service `count` times, every 10 ms.
+fn reports(world: &mut World, count: u64) {
+    for i in 0..count {
+        world.call(0, REPORT, Duration::from_millis(10 * i));
+    }
+}
+
+fn assert_whole(world: &World) {
+    assert_eq!(world.checks.broken, Vec::<String>::new());
+}
+
+fn slowest(world: &World) -> Duration {
+    world.calls.values().flat_map(|c| c.took.iter().copied()).max().unwrap_or_default()
+}
+
+#[test]
+fn a_calm_fleet_serves_every_request() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 20);
+        world.loss = 0.001;
+        reports(&mut world, 300);
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 320, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn flows_survive_the_restart_of_the_agent_beside_their_living_backend_server() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        for i in 0..5 {
+            world.kill_agent(i);
+            world.run(Duration::from_millis(600));
+            world.start_agent(i, false);
+            world.run(Duration::from_millis(1_500));
+        }
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 30, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn flows_survive_the_loss_of_all_that_entries_remember() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        for i in 0..3 {
+            world.kill_entry(i);
+            world.run(Duration::from_millis(500));
+            world.start_entry(i);
+            world.run(Duration::from_millis(500));
+        }
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 30, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn flows_survive_the_restart_of_all_processes_at_once() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        (0..3).for_each(|i| world.kill_entry(i));
+        (0..8).for_each(|i| world.kill_agent(i));
+        world.run(Duration::from_millis(800));
+        (0..3).for_each(|i| world.start_entry(i));
+        (0..8).for_each(|i| world.start_agent(i, false));
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 30, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_crashed_backend_server_costs_a_new_flow_tens_of_milliseconds() {
+    for seed in 0..SEEDS {
+        for dark in [false, true] {
+            let mut world = fleet(seed, 0);
+            world.crash(1, dark);
+            reports(&mut world, 200);
+            world.run(SECOND * 5);
+            assert_eq!(world.ended(End::Done), 200, "seed {seed} dark {dark}");
+            assert!(slowest(&world) < Duration::from_millis(400), "{:?}", slowest(&world));
+            assert_whole(&world);
+        }
+    }
+}
+
+#[test]
+fn flows_of_a_crashed_backend_server_are_reset_at_once() {
+    for seed in 0..SEEDS {
+        for dark in [false, true] {
+            let mut world = fleet(seed, 40);
+            let lost = world.backends[1].held.len();
+            assert!(lost > 0);
+            world.crash(1, dark);
+            // New flows show a silent backend server.
+            reports(&mut world, 100);
+            world.run(SECOND * 2);
+            assert_eq!(world.ended(End::Reset), lost, "seed {seed} dark {dark}");
+            assert_whole(&world);
+        }
+    }
+}
+
+#[test]
+fn a_killed_agent_costs_a_new_flow_tens_of_milliseconds() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 0);
+        world.kill_agent(2);
+        reports(&mut world, 200);
+        world.run(SECOND * 5);
+        assert_eq!(world.ended(End::Done), 200, "seed {seed}");
+        assert!(slowest(&world) < Duration::from_millis(400), "{:?}", slowest(&world));
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_leaving_backend_server_keeps_its_flows_and_gets_no_new_ones() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        world.leave(0);
+        for _ in 0..10 {
+            reports(&mut world, 50);
+            world.run(SECOND);
+        }
+        world.run(SECOND * 30);
+        assert_eq!(world.ended(End::Done), 530, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_third_of_the_processes_without_the_store_still_spare_a_leaving_backend_server() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 10);
+        world.entries[0].store = false;
+        world.agents[2].store = false;
+        world.agents[4].store = false;
+        world.run(Duration::from_millis(500));
+        world.leave(0);
+        for _ in 0..8 {
+            reports(&mut world, 50);
+            world.run(SECOND);
+        }
+        world.run(SECOND * 30);
+        assert_eq!(world.ended(End::Done), 410, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn an_address_that_another_service_uses_again_gets_none_of_its_flows() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 20);
+        world.crash(1, true);
+        reports(&mut world, 100);
+        world.run(SECOND * 2);
+        world.restart_backend(1, Some("firmware"));
+        reports(&mut world, 400);
+        world.run(SECOND * 30);
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn entries_that_lapse_while_the_store_is_away_end_no_flow() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        world.store = false;
+        world.run(SECOND);
+        for i in 0..5 {
+            world.lapse(i);
+        }
+        reports(&mut world, 100);
+        world.run(SECOND * 3);
+        world.store = true;
+        world.run(Duration::from_millis(1_800));
+        for i in 0..5 {
+            world.register(i);
+        }
+        reports(&mut world, 100);
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 230, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_route_that_changes_its_service_leaves_open_flows_where_they_are() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        world.reroute(vec![Share { service: "firmware".into(), weight: 1 }]);
+        world.run(SECOND);
+        // What entries remembered is gone; the home is now of another service.
+        (0..3).for_each(|i| world.kill_entry(i));
+        (0..3).for_each(|i| world.start_entry(i));
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 30, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_frozen_agent_breaks_no_flow() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 30);
+        world.agents[1].frozen = world.now + SECOND * 2;
+        reports(&mut world, 100);
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 130, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_home_that_does_not_know_a_member_resets_none_of_its_flows() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 0);
+        world.agents[0].store = false;
+        world.agents[1].store = false;
+        world.run(SECOND);
+        let new = world.add_backend("alarm");
+        world.start_agent(new, false);
+        world.run(SECOND);
+        for i in 0..30 {
+            world.call(0, CHANNEL, Duration::from_millis(10 * i));
+        }
+        world.run(SECOND);
+        (0..3).for_each(|i| world.kill_entry(i));
+        (0..3).for_each(|i| world.start_entry(i));
+        world.run(SECOND * 40);
+        assert_eq!(world.ended(End::Done), 30, "seed {seed}");
+        assert_whole(&world);
+    }
+}
+
+#[test]
+fn a_service_without_backend_servers_refuses_at_once() {
+    let mut world = fleet(1, 0);
+    for i in 0..5 {
+        world.leave(i);
+    }
+    world.run(SECOND);
+    reports(&mut world, 20);
+    world.run(Duration::from_millis(500));
+    assert_eq!(world.ended(End::Refused), 20);
+    assert!(world.events.iter().any(|(_, _, e)| e.decision == Decision::Refused));
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fabric;
 pub mod fleet;
 pub mod hosts;
+pub mod packets;
 pub mod platform;
 pub mod property;
 pub mod world;
--- /dev/null
+++ b/testutils/src/packets/backend.rs
@@ -0,0 +1,173 @@
+//! A backend server that speaks packets.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::flow::FlowKey;
+use lagoonhollow_lib::connection::segment::Marks;
+use lagoonhollow_lib::connection::segment::Packet;
+use lagoonhollow_lib::connection::segment::Segment;
+use lagoonhollow_lib::version::member::Member;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// Bytes of every answer.
+pub const ANSWER: u16 = 600;
+
+/// One flow that the backend server holds.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Where it began to count.
+    pub first: u32,
+    /// Whether the caller acknowledged that.
+    pub open: bool,
+    // Number of the next byte that it expects.
+    next: u32,
+    // Requests taken and answered.
+    taken: u32,
+    answered: u32,
+}
+
+/// A request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// Its flow.
+    pub flow: FlowKey,
+    /// Time that it needs on a backend server of usual speed.
+    pub work: Duration,
+}
+
+/// What the backend server does about a packet.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// It sends a packet to the caller.
+    Send(Packet),
+    /// It gives the packet back.
+    Return(Packet),
+    /// It begins to work and ends after the time.
+    Begin(FlowKey, Duration),
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Backend {
+    /// What it registers.
+    pub member: Member,
+    /// Whether it runs.
+    pub up: bool,
+    /// Whether a stopped one is silent instead of refusing packets.
+    pub dark: bool,
+    /// Time that work takes, relative to the usual.
+    pub slowness: f64,
+    /// Flows that it holds.
+    pub held: HashMap<FlowKey, Held>,
+    /// Requests that were begun.
+    pub begun: u64,
+    running: u32,
+    queue: VecDeque<Job>,
+}
+
+impl Backend {
+    /// Opens a backend server that runs as `member`.
+    pub fn open(member: Member) -> Self {
+        Self {
+            member,
+            up: true,
+            dark: false,
+            slowness: 1.0,
+            held: HashMap::new(),
+            begun: 0,
+            running: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// Returns the number of requests that it works on or that wait.
+    pub fn load(&self) -> usize {
+        self.running as usize + self.queue.len()
+    }
+
+    /// Forgets everything, as a crash does.
+    pub fn crash(&mut self, dark: bool) {
+        (self.up, self.dark, self.running) = (false, dark, 0);
+        self.held.clear();
+        self.queue.clear();
+    }
+
+    /// Takes a packet of a caller.
+    pub fn take(&mut self, packet: Packet, rng: &mut Pcg64Mcg) -> Vec<Act> {
+        let segment = packet.segment;
+        if segment.is_opening() {
+            return self.open_flow(segment, rng);
+        }
+        let Some(held) = self.held.get_mut(&segment.flow) else {
+            return vec![Act::Return(packet)];
+        };
+        if !held.open {
+            if segment.ack != held.first.wrapping_add(1) {
+                return vec![Act::Return(packet)];
+            }
+            held.open = true;
+        }
+        if segment.marks.aborts || segment.marks.closes {
+            self.held.remove(&segment.flow);
+            return Vec::new();
+        }
+        if segment.len == 0 {
+            return Vec::new();
+        }
+        if segment.end() == held.next {
+            // Sent again: the answer may have been lost.
+            let answer = (held.answered == held.taken).then(|| answer(&segment.flow, held));
+            return answer.into_iter().map(Act::Send).collect();
+        }
+        held.next = segment.end();
+        held.taken += 1;
+        let work =
+            packet.raw.get(..4).and_then(|b| b.try_into().ok()).map_or(0, u32::from_le_bytes);
+        let work = Duration::from_micros(u64::from(work));
+        self.queue.push_back(Job { flow: segment.flow, work });
+        self.next_job().into_iter().collect()
+    }
+
+    /// Ends the work on a request; returns its answer and what begins then.
+    pub fn finish(&mut self, flow: &FlowKey) -> Vec<Act> {
+        self.running = self.running.saturating_sub(1);
+        let mut acts = Vec::new();
+        if let Some(held) = self.held.get_mut(flow) {
+            held.answered = held.taken;
+            acts.push(Act::Send(answer(flow, held)));
+        }
+        acts.extend(self.next_job());
+        acts
+    }
+
+    fn open_flow(&mut self, segment: Segment, rng: &mut Pcg64Mcg) -> Vec<Act> {
+        let next = segment.seq.wrapping_add(1);
+        let fresh = || Held { first: rng.random(), open: false, next, taken: 0, answered: 0 };
+        let held = self.held.entry(segment.flow).or_insert_with(fresh);
+        let marks = Marks { opens: true, acks: true, ..Marks::default() };
+        let reply = Segment { marks, seq: held.first, ack: next, copy: 0, ..segment };
+        vec![Act::Send(Packet { segment: reply, raw: Arc::new([]) })]
+    }
+
+    fn next_job(&mut self) -> Option<Act> {
+        if self.running >= self.member.slots {
+            return None;
+        }
+        let job = self.queue.pop_front()?;
+        self.running += 1;
+        self.begun += 1;
+        Some(Act::Begin(job.flow, job.work.mul_f64(self.slowness)))
+    }
+}
+
+fn answer(flow: &FlowKey, held: &Held) -> Packet {
+    let before = u32::from(ANSWER) * held.answered.saturating_sub(1);
+    let seq = held.first.wrapping_add(1).wrapping_add(before);
+    let marks = Marks { acks: true, ..Marks::default() };
+    let segment = Segment { flow: *flow, marks, seq, ack: held.next, len: ANSWER, copy: 0 };
+    Packet { segment, raw: Arc::new([]) }
+}
--- /dev/null
+++ b/testutils/src/packets/mod.rs
@@ -0,0 +1,8 @@
+//! A fleet of the packet front end under virtual time: callers, entries, agents
+//! and backend servers on a network that loses and delays.
+
+pub mod backend;
+pub mod caller;
+pub mod checks;
+pub mod node;
+pub mod world;
--- /dev/null
+++ b/testutils/src/packets/node.rs
@@ -0,0 +1,123 @@
+//! The processes of the fleet under virtual time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::segment::Packet;
+use lagoonhollow_lib::front::packet::agent::Agent;
+use lagoonhollow_lib::front::packet::entry::Entry;
+use lagoonhollow_lib::front::packet::message::Known;
+use lagoonhollow_lib::front::packet::message::Message;
+use lagoonhollow_lib::front::packet::step::Step;
+use lagoonhollow_lib::process::registry::Registry;
+use lagoonhollow_lib::process::view::View;
+use lagoonhollow_lib::value::moment::Moment;
+
+/// One process.
+#[derive(Debug)]
+pub enum Process {
+    /// An entry.
+    Entry(Box<Entry>),
+    /// An agent.
+    Agent(Box<Agent>),
+}
+
+/// A VM of the fleet.
+#[derive(Debug)]
+pub struct Node {
+    /// Its address for datagrams.
+    pub link: SocketAddr,
+    /// Its process, while one runs.
+    pub process: Option<Process>,
+    /// Until when the process stands still.
+    pub frozen: Moment,
+    /// Whether the store can be read from here.
+    pub store: bool,
+    /// Whether other VMs can be reached.
+    pub cut: bool,
+    /// What it knows of backend servers.
+    pub registry: Registry,
+    /// Time since which the store could not be read.
+    pub silent: Option<Moment>,
+    /// The view last shown.
+    pub shown: View,
+    /// Slowness of what it knows, for a process that hears news late.
+    pub lag: Duration,
+}
+
+impl Node {
+    /// Opens a VM without a process.
+    pub fn open(link: SocketAddr) -> Self {
+        Self {
+            link,
+            process: None,
+            frozen: Moment::default(),
+            store: true,
+            cut: false,
+            registry: Registry::default(),
+            silent: None,
+            shown: View::default(),
+            lag: Duration::ZERO,
+        }
+    }
+
+    /// Returns the agent that runs here.
+    pub fn agent(&mut self) -> Option<&mut Agent> {
+        match &mut self.process {
+            Some(Process::Agent(agent)) => Some(agent),
+            _ => None,
+        }
+    }
+
+    /// Returns the entry that runs here.
+    pub fn entry(&mut self) -> Option<&mut Entry> {
+        match &mut self.process {
+            Some(Process::Entry(entry)) => Some(entry),
+            _ => None,
+        }
+    }
+
+    /// Shows the process what the VM knows.
+    pub fn enforce(&mut self, view: View, now: Moment) {
+        self.shown = view.clone();
+        match &mut self.process {
+            Some(Process::Entry(entry)) => entry.enforce(view),
+            Some(Process::Agent(agent)) => agent.enforce(view, now),
+            None => {}
+        }
+    }
+
+    /// Passes a message to the process.
+    pub fn message(
+        &mut self,
+        from: SocketAddr,
+        known: Known,
+        message: Message,
+        packet: Option<Packet>,
+        now: Moment,
+    ) {
+        match &mut self.process {
+            Some(Process::Entry(entry)) => entry.message(from, known, message, now),
+            Some(Process::Agent(agent)) => agent.message(from, known, message, packet, now),
+            None => {}
+        }
+    }
+
+    /// Lets the process do what is due.
+    pub fn tick(&mut self, now: Moment) {
+        match &mut self.process {
+            Some(Process::Entry(entry)) => entry.tick(now),
+            Some(Process::Agent(agent)) => agent.tick(now),
+            None => {}
+        }
+    }
+
+    /// Takes what the process asks for, and what it knows.
+    pub fn take_steps(&mut self) -> (Vec<Step>, Known) {
+        match &mut self.process {
+            Some(Process::Entry(entry)) => (entry.take_steps(), entry.known()),
+            Some(Process::Agent(agent)) => (agent.take_steps(), agent.known()),
+            None => (Vec::new(), Known::default()),
+        }
+    }
+}
