Pass no new flow to a backend server whose run is not proven

Cause: lib/tests/packets.rs (an idle backend server replaced unseen) opened flows of one service at another: an agent that can't read the store takes whatever has the address for the run that registered itself. Ruled out: made-up packets as probes (a backend server may get none that its sender did not write); health requests (they take a slot). Change: Vitals knows Working, Unproven, Dead. Proof are packets of flows and an idle connection that is held open; without it for the time after which an address is used again, no flow is passed on until a new run registers itself or the entry outlasts its heartbeats.

--- a/daemon/src/connection/packet/agent.rs
+++ b/daemon/src/connection/packet/agent.rs
@@ -6,7 +6,6 @@
 
 use lagoonhollow_lib::front::packet::agent::Agent;
 use lagoonhollow_lib::front::packet::desk::Identity;
-use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_platform::packet;
 use lagoonhollow_platform::packet::Sender;
@@ -19,6 +18,7 @@
 use crate::process::packet::bridge::Command;
 use crate::process::packet::bridge::Report;
 use crate::process::packet::bridge::Traffic;
+use crate::process::packet::settings::AgentRole;
 use crate::process::packet::settings::PacketSettings;
 
 /// Time between two rounds of what is due by time, while something waits.
@@ -41,16 +41,12 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
-pub async fn bind(
-    settings: &PacketSettings,
-    backend: SocketAddr,
-    outbound: SocketAddr,
-) -> io::Result<Sockets> {
+pub async fn bind(settings: &PacketSettings, role: &AgentRole) -> io::Result<Sockets> {
     let link = UdpSocket::bind(settings.link).await?;
-    let outbound = UdpSocket::bind(outbound).await?;
+    let outbound = UdpSocket::bind(role.outbound).await?;
     // A connected socket is told when nobody takes packets at the address.
     let socket = UdpSocket::bind(SocketAddr::new(settings.link.ip(), 0)).await?;
-    socket.connect(backend).await?;
+    socket.connect(role.backend).await?;
     Ok(Sockets { link, outbound, backend: socket })
 }
 
@@ -61,8 +57,7 @@
 /// Returns an error if a socket fails.
 pub async fn run(
     settings: &PacketSettings,
-    backend: SocketAddr,
-    service: Name,
+    role: &AgentRole,
     sockets: Sockets,
     traffic: Traffic,
 ) -> io::Result<()> {
@@ -72,8 +67,10 @@
         link: settings.link,
         domain: settings.domain.clone(),
         run: clock.incarnation(),
-        backend,
-        service,
+        backend: role.backend,
+        service: role.service.clone(),
+        reuse: role.reuse,
+        lapse: role.lapse,
         first_start: settings.first_start,
     };
     let mut agent = Agent::open(me, clock.now());
@@ -127,6 +124,7 @@
                     // Nobody waits if the question took too long.
                     let _ = reply.send(agent.owner(&flow));
                 }
+                Some(Command::Lifeline { open }) => agent.lifeline(open, clock.now()),
                 Some(Command::Drain) => {
                     agent.leave(clock.now());
                     stop = Some(Instant::now() + drain);
--- a/daemon/src/connection/packet/entry.rs
+++ b/daemon/src/connection/packet/entry.rs
@@ -98,6 +98,8 @@
                 // The fabric stops handing packets here once it sees that the
                 // entry is not ready, so everything is served until then.
                 Some(Command::Drain) => stop = Some(Instant::now() + drain),
+                // An entry has no backend server.
+                Some(Command::Lifeline { .. }) => {}
                 None => return Ok(()),
             },
             _ = sleep_until(due) => {
--- /dev/null
+++ b/daemon/src/connection/packet/lifeline.rs
@@ -0,0 +1,67 @@
+//! An idle connection to the backend server, which closes when it ends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonhollow_lib::process::vitals::LIFELINE_LAG;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::process::packet::bridge::Command;
+
+/// Time without traffic after which the connection is probed, and between two probes.
+const PROBE: Duration = Duration::from_secs(1);
+/// Pause before a connection that failed is tried again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Holds a connection to the backend server at `address` for good, and tells
+/// the traffic thread whether it is open. No request is sent on it, so it takes
+/// no slot.
+pub async fn hold(address: SocketAddr, traffic: mpsc::Sender<Command>) {
+    loop {
+        match timeout(LIFELINE_LAG, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                if let Err(error) = probe(&stream) {
+                    spdlog::warn!("lifeline_not_probed", kv: { error: });
+                }
+                if traffic.send(Command::Lifeline { open: true }).await.is_err() {
+                    return;
+                }
+                wait_for_end(stream).await;
+                if traffic.send(Command::Lifeline { open: false }).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Err(error)) => spdlog::debug!("lifeline_refused", kv: { error: }),
+            Err(_) => spdlog::debug!("lifeline_timeout"),
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Reads until the connection ends; nothing is expected to come.
+async fn wait_for_end(mut stream: TcpStream) {
+    let mut buffer = [0; 64];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) => {
+                spdlog::debug!("lifeline_ended", kv: { error: });
+                return;
+            }
+        }
+    }
+}
+
+fn probe(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(1);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(LIFELINE_LAG))
+}
--- a/daemon/src/connection/packet/mod.rs
+++ b/daemon/src/connection/packet/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod agent;
 pub mod entry;
+pub mod lifeline;
 pub mod outlet;
--- a/daemon/src/process/packet/bridge.rs
+++ b/daemon/src/process/packet/bridge.rs
@@ -29,6 +29,11 @@
         /// Where the owner goes, as far as it is known.
         reply: oneshot::Sender<Option<Owner>>,
     },
+    /// Whether a connection to the backend server is open.
+    Lifeline {
+        /// Whether it is.
+        open: bool,
+    },
     /// A planned stop begins.
     Drain,
 }
--- a/daemon/src/process/packet/control.rs
+++ b/daemon/src/process/packet/control.rs
@@ -20,7 +20,9 @@
 use super::admin;
 use super::bridge::Command;
 use super::bridge::Report;
+use super::settings::Role;
 use super::shared::Shared;
+use crate::connection::packet::lifeline;
 use crate::version::packet::follow;
 
 /// Time beyond the drain time for the traffic thread to end.
@@ -59,6 +61,9 @@
     let client = Client::new().await;
     let peers = shared.settings.peers.clone();
     spawn(follow::ask_peers(client.clone(), peers, shared.clone()));
+    if let Role::Agent(role) = &shared.settings.role {
+        spawn(lifeline::hold(role.backend, shared.traffic.clone()));
+    }
     let life = life.serve(clock.now());
     shared.enter(&life);
     let Incarnation(run) = clock.incarnation();
--- a/daemon/src/process/packet/daemon.rs
+++ b/daemon/src/process/packet/daemon.rs
@@ -116,10 +116,10 @@
                     let Some(sockets) = told(&bound, sockets) else { return Ok(()) };
                     entry::run(&settings, sockets, traffic).await
                 }
-                Role::Agent { backend, service, outbound } => {
-                    let sockets = agent::bind(&settings, *backend, *outbound).await;
+                Role::Agent(role) => {
+                    let sockets = agent::bind(&settings, role).await;
                     let Some(sockets) = told(&bound, sockets) else { return Ok(()) };
-                    agent::run(&settings, *backend, service.clone(), sockets, traffic).await
+                    agent::run(&settings, role, sockets, traffic).await
                 }
             }
         });
--- a/daemon/src/process/packet/settings.rs
+++ b/daemon/src/process/packet/settings.rs
@@ -17,7 +17,7 @@
 use crate::process::settings::Level;
 
 /// Sections and keys that a settings file may have.
-const KEYS: [(&str, &str); 16] = [
+const KEYS: [(&str, &str); 18] = [
     ("process", "front"),
     ("process", "role"),
     ("process", "name"),
@@ -32,12 +32,18 @@
     ("address", "outbound"),
     ("backend", "address"),
     ("backend", "service"),
+    ("backend", "reuse_seconds"),
+    ("backend", "heartbeat_ms"),
     ("fleet", "store"),
     ("fleet", "peers"),
 ];
 
-/// Longest time for a planned stop, in milliseconds.
-const MAX_DRAIN_MS: u64 = 3_600_000;
+/// Heartbeats that a backend server misses before its entry is removed.
+const LAPSE_BEATS: u32 = 3;
+/// Time for that removal to be read.
+const LAPSE_SLACK: Duration = Duration::from_millis(500);
+/// Longest time that can be set, in milliseconds.
+const MAX_MS: u64 = 3_600_000;
 
 /// What a process is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,14 +51,23 @@
     /// It takes callers' packets from the fabric.
     Entry,
     /// It runs beside a backend server.
-    Agent {
-        /// Address on which the backend server takes packets.
-        backend: SocketAddr,
-        /// Service of the backend server, until it has registered itself.
-        service: Name,
-        /// Address to which the backend server sends its packets.
-        outbound: SocketAddr,
-    },
+    Agent(AgentRole),
+}
+
+/// What only an agent is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentRole {
+    /// Address on which the backend server takes packets.
+    pub backend: SocketAddr,
+    /// Service of the backend server, until it has registered itself.
+    pub service: Name,
+    /// Address to which the backend server sends its packets.
+    pub outbound: SocketAddr,
+    /// Time after which the address of a backend server that is gone may be
+    /// used again.
+    pub reuse: Duration,
+    /// Time after which the entry of a backend server that is gone is removed.
+    pub lapse: Duration,
 }
 
 /// Checked settings.
@@ -118,8 +133,7 @@
     let name = reader.required("process", "name", "a name", non_empty);
     let domain = reader.required("process", "domain", "a failure domain", non_empty);
     let first_start = reader.optional("process", "first_start", "true or false", parsed);
-    let fits = |s: &str| s.parse().ok().filter(|n| *n <= MAX_DRAIN_MS);
-    let drain = reader.required("process", "drain_ms", "milliseconds from 0 to 3600000", fits);
+    let drain = reader.required("process", "drain_ms", "milliseconds from 0 to 3600000", millis);
     let level = reader.optional("log", "level", "error, warn, info or debug", parsed);
     let link = reader.required("address", "link", ADDRESS, parsed);
     let admin = reader.required("address", "admin", ADDRESS, parsed);
@@ -139,12 +153,23 @@
         callers: callers?,
         store: store?,
         peers: peers.unwrap_or_default(),
-        drain: Duration::from_millis(drain?),
+        drain: drain?,
     })
 }
 
+fn seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|d| d.as_secs() <= MAX_MS / 1_000)
+}
+
+fn millis(text: &str) -> Option<Duration> {
+    text.parse().ok().filter(|n| *n <= MAX_MS).map(Duration::from_millis)
+}
+
 fn role(reader: &mut Reader) -> Option<Role> {
     const ADDRESS: &str = "an IP address and port";
+    const SECONDS: &str = "seconds from 0 to 3600";
+    const MILLIS: &str = "milliseconds from 0 to 3600000";
     let known = |s: &str| matches!(s, "entry" | "agent").then(|| s.to_owned());
     match reader.required("process", "role", "entry or agent", known)?.as_str() {
         "entry" => Some(Role::Entry),
@@ -152,7 +177,15 @@
             let backend = reader.required("backend", "address", ADDRESS, parsed);
             let service = reader.required("backend", "service", "a service", non_empty);
             let outbound = reader.required("address", "outbound", ADDRESS, parsed);
-            Some(Role::Agent { backend: backend?, service: service?, outbound: outbound? })
+            let reuse = reader.required("backend", "reuse_seconds", SECONDS, seconds);
+            let beat = reader.required("backend", "heartbeat_ms", MILLIS, millis);
+            Some(Role::Agent(AgentRole {
+                backend: backend?,
+                service: service?,
+                outbound: outbound?,
+                reuse: reuse?,
+                lapse: beat? * LAPSE_BEATS + LAPSE_SLACK,
+            }))
         }
     }
 }
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -105,7 +105,7 @@
     pub fn status(&self) -> Status {
         let role = match self.settings.role {
             Role::Entry => "entry",
-            Role::Agent { .. } => "agent",
+            Role::Agent(_) => "agent",
         };
         let number = |n: i64| u64::try_from(n).unwrap_or_default();
         let held = [
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -153,7 +153,7 @@
     /// Takes a packet of the backend server.
     pub fn backend_packet(&mut self, packet: Packet, now: Moment) {
         if packet.segment.marks.returned {
-            self.host.heard(&mut self.desk, now);
+            self.host.heard(now);
             self.returned(packet, now);
             return;
         }
@@ -171,7 +171,12 @@
 
     /// Takes in that the backend server's address refuses packets.
     pub fn backend_refused(&mut self, now: Moment) {
-        self.host.refused(now);
+        self.host.refused(&mut self.desk, now);
+    }
+
+    /// Takes in whether a connection to the backend server is open.
+    pub fn lifeline(&mut self, open: bool, now: Moment) {
+        self.host.lifeline(open, now);
     }
 
     /// Does what is due by time.
--- a/lib/src/front/packet/desk.rs
+++ b/lib/src/front/packet/desk.rs
@@ -33,6 +33,11 @@
     pub backend: SocketAddr,
     /// Service of its backend server, until the roster says so.
     pub service: Name,
+    /// Time after which the address of a backend server that is gone may be
+    /// used again by another one.
+    pub reuse: Duration,
+    /// Time after which the entry of a backend server that is gone is removed.
+    pub lapse: Duration,
     /// Whether the whole fleet starts for the first time, so that there are no
     /// flows from before.
     pub first_start: bool,
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -33,6 +33,9 @@
     BackendSilent,
     /// The backend server and its flows are gone.
     BackendDead,
+    /// Nothing was heard of the backend server for so long that another one may
+    /// have its address.
+    BackendUnproven,
     /// The backend server works again.
     BackendBack,
     /// The backend server beside this agent changed.
--- a/lib/src/front/packet/host.rs
+++ b/lib/src/front/packet/host.rs
@@ -18,6 +18,7 @@
 use crate::connection::served::Opening;
 use crate::connection::served::Served;
 use crate::connection::served::ServedFlows;
+use crate::process::vitals::Condition;
 use crate::process::vitals::Vitals;
 use crate::request::pace::Load;
 use crate::request::pace::Pace;
@@ -65,7 +66,8 @@
     vitals: Vitals,
     // Whether the table has every flow of the backend server.
     complete: bool,
-    dead: bool,
+    // Whether a connection to the backend server is open.
+    lifeline: bool,
     leaving: bool,
 }
 
@@ -79,7 +81,7 @@
             pace: Pace::open(now),
             vitals: Vitals::open(now),
             complete,
-            dead: false,
+            lifeline: false,
             leaving: false,
         }
     }
@@ -102,7 +104,7 @@
     /// Returns whether the backend server takes new flows.
     pub fn takes(&self, now: Moment) -> bool {
         let ready = self.member.as_ref().is_some_and(|m| m.standing == Standing::Ready);
-        ready && !self.leaving && !self.dead && self.vitals.takes_work(now)
+        ready && !self.leaving && self.vitals.takes_work(now)
     }
 
     /// Returns whether the table has every flow of the backend server.
@@ -123,14 +125,15 @@
     /// Takes in what the roster says of the backend server.
     pub fn enforce(&mut self, desk: &mut Desk, now: Moment) {
         let member = desk.view.roster.holder(desk.me.backend).cloned();
-        if let (Some(old), Some(new)) = (&self.member, &member)
-            && !old.same_run(new)
-        {
-            // Another run has the address, so the one before it is gone.
-            self.forget_all(desk, now);
-            self.complete = true;
-            self.vitals = Vitals::open(now);
-            self.pace.clear(now);
+        match (&self.member, &member) {
+            (Some(old), Some(new)) if !old.same_run(new) => {
+                // Another run has the address, so the one before it is gone.
+                self.forget_all(desk, now);
+                self.complete = true;
+                self.vitals = Vitals::open(now);
+            }
+            (None, Some(_)) => self.vitals = Vitals::open(now),
+            _ => {}
         }
         let changed = match (&self.member, &member) {
             (Some(old), Some(new)) => !old.same_run(new) || old.standing != new.standing,
@@ -238,7 +241,12 @@
     ///
     /// Returns the flow's state if others have to be told that it is here.
     pub fn sent(&mut self, desk: &mut Desk, segment: &Segment, now: Moment) -> Option<Served> {
-        self.heard(desk, now);
+        if segment.marks.opens {
+            self.vitals.heard(now);
+        } else {
+            // Only the run that took the flow's opening packet has the flow.
+            self.proven(desk, now);
+        }
         self.offers.remove(&segment.flow);
         let flow = segment.flow;
         if segment.marks.aborts {
@@ -305,16 +313,23 @@
     }
 
     /// Takes in a sign of life of the backend server.
-    pub fn heard(&mut self, desk: &mut Desk, now: Moment) {
+    pub fn heard(&mut self, now: Moment) {
         self.vitals.heard(now);
-        if std::mem::take(&mut self.dead) {
-            desk.record(Event::of(Decision::BackendBack));
+    }
+
+    /// Takes in whether a connection to the backend server is open.
+    pub fn lifeline(&mut self, open: bool, now: Moment) {
+        self.lifeline = open;
+        if open {
+            self.vitals.connected(now);
         }
     }
 
     /// Takes in that the backend server's address refuses packets.
-    pub fn refused(&mut self, now: Moment) {
-        self.vitals.refused(now);
+    pub fn refused(&mut self, desk: &mut Desk, now: Moment) {
+        if self.vitals.refused(now) {
+            self.died(desk, now);
+        }
     }
 
     /// Starts over after a pause of this process.
@@ -364,11 +379,20 @@
                 desk.record(event.flow(*flow));
             }
         }
-        if !self.dead && self.vitals.is_dead(now) {
-            self.dead = true;
-            desk.record(Event::of(Decision::BackendDead).value(self.served.count() as u64));
-            self.forget_all(desk, now);
-            self.complete = true;
+        if self.lifeline {
+            self.vitals.connected(now);
+        }
+        if self.vitals.tick(desk.me.reuse, now) {
+            match self.vitals.condition() {
+                Condition::Dead => self.died(desk, now),
+                _ => desk.record(Event::of(Decision::BackendUnproven)),
+            }
+        }
+        // An entry that outlasts the heartbeats of a dead backend server is kept
+        // up by a living one.
+        let kept_up = self.vitals.doubted(now).is_some_and(|d| d >= desk.me.lapse);
+        if kept_up && desk.view.fresh && self.member.is_some() {
+            self.proven(desk, now);
         }
         late
     }
@@ -402,6 +426,21 @@
         }
     }
 
+    /// Takes in proof that the backend server works.
+    fn proven(&mut self, desk: &mut Desk, now: Moment) {
+        if self.vitals.condition() != Condition::Working {
+            desk.record(Event::of(Decision::BackendBack));
+        }
+        self.vitals.proven(now);
+    }
+
+    /// Takes in that the backend server is gone.
+    fn died(&mut self, desk: &mut Desk, now: Moment) {
+        desk.record(Event::of(Decision::BackendDead).value(self.served.count() as u64));
+        self.forget_all(desk, now);
+        self.complete = true;
+    }
+
     /// Resets the flows of a backend server that is gone.
     fn forget_all(&mut self, desk: &mut Desk, now: Moment) {
         let flows: Vec<_> = self.served.drain().collect();
@@ -414,5 +453,6 @@
             }
             self.ended(desk, &flow, &served, now);
         }
+        self.pace.clear(now);
     }
 }
--- a/lib/src/process/vitals.rs
+++ b/lib/src/process/vitals.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::value::moment::Moment;
 
 /// Opening packets in a row without answer after which no more are passed on.
@@ -15,24 +17,67 @@
 /// Packets in a row that a dead backend server must have left unanswered.
 const DEAD_UNANSWERED: u32 = 3;
 
-/// Signs of life of a backend server.
+/// Time after which a connection to a silent backend server is closed, by
+/// keep-alive probes; before, an open connection proves nothing.
+pub const LIFELINE_LAG: Duration = Duration::from_millis(1_500);
+
+/// What is believed of a backend server.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+pub enum Condition {
+    /// The run that registered itself works.
+    Working,
+    /// Nothing was heard of it for so long that another one may have its address.
+    Unproven,
+    /// It is gone, and its flows with it.
+    Dead,
+}
+
+/// Signs of life of one run of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Vitals {
+    condition: Condition,
+    since: Moment,
     heard: Moment,
+    proof: Moment,
     unanswered: u32,
     paused_until: Moment,
-    dead: bool,
 }
 
 impl Vitals {
-    /// Opens for a backend server that is taken to work.
+    /// Opens for a run that has registered itself.
     pub fn open(now: Moment) -> Self {
-        Self { heard: now, unanswered: 0, paused_until: Moment::default(), dead: false }
+        let (condition, unanswered) = (Condition::Working, 0);
+        let paused_until = Moment::default();
+        Self { condition, since: now, heard: now, proof: now, unanswered, paused_until }
+    }
+
+    /// Returns what is believed.
+    pub fn condition(&self) -> Condition {
+        self.condition
     }
 
-    /// Takes in a packet of the backend server.
+    /// Returns for how long the backend server has not been believed to work.
+    pub fn doubted(&self, now: Moment) -> Option<Duration> {
+        (self.condition != Condition::Working).then(|| now.since(self.since))
+    }
+
+    /// Takes in a packet that any run sends. It is no proof that the run is the
+    /// registered one if that was in doubt.
     pub fn heard(&mut self, now: Moment) {
-        *self = Self { heard: now, ..Self::open(now) };
+        if self.condition == Condition::Working {
+            *self = Self::open(now);
+        }
+    }
+
+    /// Takes in that a connection to the backend server is open.
+    pub fn connected(&mut self, now: Moment) {
+        self.proof = self.proof.max(now - LIFELINE_LAG);
+    }
+
+    /// Takes in proof that the run which was there before still works.
+    pub fn proven(&mut self, now: Moment) {
+        *self = Self::open(now);
     }
 
     /// Takes in that an opening packet is overdue; returns whether the backend
@@ -46,25 +91,41 @@
         pauses
     }
 
-    /// Takes in that the backend server's address refuses packets.
-    pub fn refused(&mut self, now: Moment) {
-        self.dead = true;
-        self.paused_until = now + PAUSE;
+    /// Takes in that the backend server's address refuses packets; returns
+    /// whether that is news.
+    pub fn refused(&mut self, now: Moment) -> bool {
+        self.doubt(Condition::Dead, now)
     }
 
-    /// Returns whether new flows may be passed on.
-    pub fn takes_work(&self, now: Moment) -> bool {
-        now >= self.paused_until
+    /// Looks at the time since the last sign of life; returns whether the
+    /// condition changed. An address may be used again `reuse` after its holder
+    /// is gone.
+    pub fn tick(&mut self, reuse: Duration, now: Moment) -> bool {
+        let silence = now.since(self.heard);
+        if silence >= DEAD_AFTER && self.unanswered >= DEAD_UNANSWERED {
+            return self.doubt(Condition::Dead, now);
+        }
+        self.condition == Condition::Working
+            && now.since(self.proof) >= reuse
+            && self.doubt(Condition::Unproven, now)
     }
 
-    /// Returns whether the backend server and its flows are gone.
-    pub fn is_dead(&self, now: Moment) -> bool {
-        let silent = now.since(self.heard) >= DEAD_AFTER;
-        self.dead || (silent && self.unanswered >= DEAD_UNANSWERED)
+    /// Returns whether new flows may be passed on.
+    pub fn takes_work(&self, now: Moment) -> bool {
+        self.condition == Condition::Working && now >= self.paused_until
     }
 
     /// Starts over after a pause of this process, in which it could hear nothing.
     pub fn woke(&mut self, now: Moment) {
-        *self = Self { dead: self.dead, ..Self::open(now) };
+        self.unanswered = 0;
+        self.heard = self.heard.max(now - DEAD_AFTER);
+    }
+
+    fn doubt(&mut self, condition: Condition, now: Moment) -> bool {
+        if self.condition == condition {
+            return false;
+        }
+        (self.condition, self.since) = (condition, now);
+        true
     }
 }
--- a/lib/tests/packets.rs
+++ b/lib/tests/packets.rs
@@ -285,3 +285,64 @@
     assert_eq!(world.ended(End::Refused), 20);
     assert!(world.events.iter().any(|(_, _, e)| e.decision == Decision::Refused));
 }
+
+/// Gives the address of the first service's second backend server to the other
+/// service while nobody but, maybe, the agent beside it can read the store.
+fn reuse_unseen(seed: u64, dark: bool, agent_reads: bool, calls: u64) -> World {
+    let mut world = fleet(seed, 20);
+    world.entries.iter_mut().for_each(|n| n.store = false);
+    for (i, node) in world.agents.iter_mut().enumerate() {
+        node.store = agent_reads && i == 1;
+    }
+    world.crash(1, dark);
+    reports(&mut world, calls);
+    world.run(SECOND * 3);
+    world.restart_backend(1, Some("firmware"));
+    world.run(SECOND);
+    reports(&mut world, 300);
+    world.run(SECOND * 30);
+    world
+}
+
+#[test]
+fn an_agent_passes_no_flow_of_the_former_service_on() {
+    for seed in 0..SEEDS {
+        for dark in [false, true] {
+            assert_whole(&reuse_unseen(seed, dark, true, 100));
+        }
+    }
+}
+
+#[test]
+fn an_agent_that_saw_its_backend_server_die_passes_nothing_on_until_it_is_registered() {
+    for seed in 0..SEEDS {
+        for dark in [false, true] {
+            assert_whole(&reuse_unseen(seed, dark, false, 100));
+        }
+    }
+}
+
+#[test]
+fn an_agent_whose_idle_backend_server_was_replaced_unseen_passes_nothing_on() {
+    for seed in 0..SEEDS {
+        for dark in [false, true] {
+            assert_whole(&reuse_unseen(seed, dark, false, 0));
+        }
+    }
+}
+
+#[test]
+fn packets_are_not_spread_over_backend_servers_while_the_owner_is_away() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 40);
+        // All tables are lost; one agent stays away longer than a flow may stray.
+        (0..3).for_each(|i| world.kill_entry(i));
+        (0..5).for_each(|i| world.kill_agent(i));
+        (0..3).for_each(|i| world.start_entry(i));
+        (1..5).for_each(|i| world.start_agent(i, false));
+        world.run(SECOND * 3);
+        world.start_agent(0, false);
+        world.run(SECOND * 40);
+        assert_whole(&world);
+    }
+}
--- a/testutils/src/packets/backend.rs
+++ b/testutils/src/packets/backend.rs
@@ -9,6 +9,7 @@
 use lagoonhollow_lib::connection::segment::Marks;
 use lagoonhollow_lib::connection::segment::Packet;
 use lagoonhollow_lib::connection::segment::Segment;
+use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::version::member::Member;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -65,6 +66,7 @@
     pub held: HashMap<FlowKey, Held>,
     /// Requests that were begun.
     pub begun: u64,
+    stopped: Moment,
     running: u32,
     queue: VecDeque<Job>,
 }
@@ -79,6 +81,7 @@
             slowness: 1.0,
             held: HashMap::new(),
             begun: 0,
+            stopped: Moment::default(),
             running: 0,
             queue: VecDeque::new(),
         }
@@ -90,12 +93,19 @@
     }
 
     /// Forgets everything, as a crash does.
-    pub fn crash(&mut self, dark: bool) {
+    pub fn crash(&mut self, dark: bool, now: Moment) {
+        self.stopped = now;
         (self.up, self.dark, self.running) = (false, dark, 0);
         self.held.clear();
         self.queue.clear();
     }
 
+    /// Returns whether a connection to it is still open, which `keep_alive`
+    /// closes once it is silent.
+    pub fn connected(&self, keep_alive: Duration, now: Moment) -> bool {
+        self.up || (self.dark && now.since(self.stopped) < keep_alive)
+    }
+
     /// Takes a packet of a caller.
     pub fn take(&mut self, packet: Packet, rng: &mut Pcg64Mcg) -> Vec<Act> {
         let segment = packet.segment;
--- a/testutils/src/packets/checks.rs
+++ b/testutils/src/packets/checks.rs
@@ -11,17 +11,12 @@
 /// Packets of an open flow that may reach other backend servers meanwhile.
 const STRAYS: usize = 3;
 
-/// Packets of one flow that reached backend servers.
-#[derive(Debug, Default)]
-struct Reached {
-    own: Option<Moment>,
-    strays: Vec<Moment>,
-}
-
 /// Checks over the packets that backend servers and callers get.
 #[derive(Debug, Default)]
 pub struct Checks {
-    flows: HashMap<FlowKey, Reached>,
+    // Packets of open flows that went elsewhere since their own backend server
+    // last got one.
+    strays: HashMap<FlowKey, Vec<Moment>>,
     /// What was broken, and when.
     pub broken: Vec<String>,
 }
@@ -34,17 +29,35 @@
 
     /// Takes in that a packet of an open flow reached its backend server, or another.
     pub fn reached(&mut self, flow: FlowKey, own: bool, now: Moment) {
-        let reached = self.flows.entry(flow).or_default();
+        self.look(&flow, now);
         if own {
-            reached.own = Some(now);
-            reached.strays.clear();
+            self.strays.remove(&flow);
+        } else {
+            self.strays.entry(flow).or_default().push(now);
+        }
+    }
+
+    /// Looks at all flows at the end.
+    pub fn finish(&mut self, now: Moment) {
+        let flows: Vec<_> = self.strays.keys().copied().collect();
+        for flow in flows {
+            self.look(&flow, now);
+        }
+    }
+
+    /// Finds a flow of which, for the whole slack, several packets went
+    /// elsewhere and none to its own backend server.
+    fn look(&mut self, flow: &FlowKey, now: Moment) {
+        let Some(strays) = self.strays.get_mut(flow) else { return };
+        let Some(first) = strays.first().copied() else { return };
+        if now.since(first) < FLOW_SLACK {
             return;
         }
-        reached.strays.retain(|at| now.since(*at) < FLOW_SLACK);
-        reached.strays.push(now);
-        let strays = reached.strays.len();
-        if strays >= STRAYS && reached.own.is_none_or(|at| now.since(at) >= FLOW_SLACK) {
-            self.find(now, format!("{strays} packets of {flow:?} went to other backend servers"));
+        let count = strays.iter().filter(|at| at.since(first) < FLOW_SLACK).count();
+        strays.retain(|at| at.since(first) >= FLOW_SLACK);
+        if count >= STRAYS {
+            let problem = format!("{count} packets of {flow:?} went to other backend servers");
+            self.find(first, problem);
         }
     }
 }
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -11,6 +11,7 @@
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::connection::flow::Protocol;
+use lagoonhollow_lib::connection::segment::Marks;
 use lagoonhollow_lib::connection::segment::Packet;
 use lagoonhollow_lib::connection::segment::Segment;
 use lagoonhollow_lib::front::packet::agent::Agent;
@@ -23,6 +24,7 @@
 use lagoonhollow_lib::process::registry;
 use lagoonhollow_lib::process::registry::Listing;
 use lagoonhollow_lib::process::view::View;
+use lagoonhollow_lib::process::vitals::LIFELINE_LAG;
 use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::name::Name;
@@ -56,6 +58,10 @@
 const READ: Duration = Duration::from_millis(300);
 /// Time after which a leaving backend server may take no new flow.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
+/// Time after which an address may be used again.
+const REUSE: Duration = Duration::from_secs(2);
+/// Time after which the entry of a backend server that is gone is removed.
+const LAPSE: Duration = Duration::from_millis(4_000);
 /// Time of a handshake at a backend server.
 const HANDSHAKE: Duration = Duration::from_micros(300);
 /// One way between callers and entries.
@@ -211,6 +217,8 @@
             run: Incarnation(self.now.0),
             backend: member.address,
             service: member.service.clone(),
+            reuse: REUSE,
+            lapse: LAPSE,
             first_start,
         };
         let agent = Agent::open(me, self.now);
@@ -230,7 +238,8 @@
 
     /// Crashes a backend server; its entry is removed later by [`World::lapse`].
     pub fn crash(&mut self, i: usize, dark: bool) {
-        self.backends[i].crash(dark);
+        let now = self.now;
+        self.backends[i].crash(dark, now);
     }
 
     /// Starts a backend server again as a new run, maybe of another service.
@@ -299,6 +308,7 @@
             }
         }
         self.now = end;
+        self.checks.finish(end);
     }
 
     /// Returns how many calls ended in a way.
@@ -342,7 +352,7 @@
                 self.caller_sends(flow, sent);
             }
             What::Wake(..) => {}
-            What::ToCaller(segment) => self.to_caller(segment),
+            What::ToCaller(segment) => self.reach_caller(segment),
             What::ToEntry(i, packet) => {
                 let now = self.now;
                 if let Some(entry) = self.entries[i].entry() {
@@ -363,7 +373,7 @@
                 }
                 self.perform(to);
             }
-            What::ToBackend(i, packet) => self.to_backend(i, packet),
+            What::ToBackend(i, packet) => self.reach_backend(i, packet),
             What::FromBackend { agent, mut packet, returned } => {
                 let now = self.now;
                 packet.segment.marks.returned = returned;
@@ -393,8 +403,13 @@
 
     fn tick(&mut self, link: SocketAddr) {
         let now = self.now;
+        let own = self.agents.iter().position(|n| n.link == link);
+        let lifeline = own.map(|i| self.backends[i].connected(LIFELINE_LAG, now));
         let Some(node) = self.node(link).filter(|n| n.process.is_some()) else { return };
         if node.frozen <= now {
+            if let (Some(open), Some(agent)) = (lifeline, node.agent()) {
+                agent.lifeline(open, now);
+            }
             node.tick(now);
         }
         self.perform(link);
@@ -440,7 +455,7 @@
         }
     }
 
-    fn to_caller(&mut self, segment: Segment) {
+    fn reach_caller(&mut self, segment: Segment) {
         let now = self.now;
         let holder = self.holder(&segment.flow);
         let Some(caller) = self.calls.get_mut(&segment.flow) else { return };
@@ -452,7 +467,7 @@
         self.caller_sends(segment.flow, sent);
     }
 
-    fn to_backend(&mut self, i: usize, packet: Packet) {
+    fn reach_backend(&mut self, i: usize, packet: Packet) {
         let segment = packet.segment;
         if !self.backends[i].up {
             if !self.backends[i].dark {
@@ -527,8 +542,7 @@
                 }
                 Step::Caller(_) => {}
                 Step::Reset { flow, seq } => {
-                    let mut marks = lagoonhollow_lib::connection::segment::Marks::default();
-                    marks.aborts = true;
+                    let marks = Marks { aborts: true, ..Marks::default() };
                     let segment = Segment { flow, marks, seq, ack: 0, len: 0, copy: 0 };
                     self.after(TO_CALLER, What::ToCaller(segment));
                 }
