--- a/lib/tests/packets.rs
+++ b/lib/tests/packets.rs
@@ -346,3 +346,21 @@
         assert_whole(&world);
     }
 }
+
+#[test]
+fn a_flow_that_two_backend_servers_answered_stays_with_the_one_that_its_caller_chose() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed, 0);
+        for i in 0..400 {
+            world.call(0, CHANNEL, Duration::from_millis(20 * i));
+        }
+        for i in 0..160 {
+            // Agents stand still in turn, so offers are overdue and made again.
+            world.agents[i % 5].frozen = world.now + Duration::from_millis(70);
+            world.run(Duration::from_millis(50));
+        }
+        world.run(SECOND * 60);
+        assert_whole(&world);
+        assert_eq!(world.ended(End::Done), 400, "seed {seed}");
+    }
+}
--- a/testutils/src/packets/backend.rs
+++ b/testutils/src/packets/backend.rs
@@ -17,6 +17,10 @@
 /// Bytes of every answer.
 pub const ANSWER: u16 = 600;
 
+/// First numbers are drawn from so few that those of two backend servers are
+/// often close to each other.
+const FIRSTS: u32 = 1 << 20;
+
 /// One flow that the backend server holds.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -156,7 +160,13 @@
 
     fn open_flow(&mut self, segment: Segment, rng: &mut Pcg64Mcg) -> Vec<Act> {
         let next = segment.seq.wrapping_add(1);
-        let fresh = || Held { first: rng.random(), open: false, next, taken: 0, answered: 0 };
+        let fresh = || Held {
+            first: rng.random_range(0..FIRSTS),
+            open: false,
+            next,
+            taken: 0,
+            answered: 0,
+        };
         let held = self.held.entry(segment.flow).or_insert_with(fresh);
         let marks = Marks { opens: true, acks: true, ..Marks::default() };
         let reply = Segment { marks, seq: held.first, ack: next, copy: 0, ..segment };
