Choose a flow's owner by the exact number that its caller acknowledges

Cause: see the failing test before: a reach of 16.7 million numbers matched the opening answer of a second backend server by chance (1 in 256 such flows). Ruled out: a smaller reach alone (1 in 16,384 remains). Change: an opening answer is chosen by the exact next number; of several known owners the nearest number below counts; a flow that others only told of is searched for, not reset, when the backend server gives its packet back. Claims after a change of the roster rank each flow once instead of once per receiver.

--- a/lib/src/connection/hints.rs
+++ b/lib/src/connection/hints.rs
@@ -56,10 +56,12 @@
         self.0.is_empty()
     }
 
-    /// Returns the owner whose backend server `segment` acknowledges, or the
-    /// one whose first number is not known.
+    /// Returns the owner whose backend server's first number is closest below
+    /// what `segment` acknowledges, or the one whose first number is not known.
     pub fn choose(&self, segment: &Segment) -> Option<Owner> {
-        let matching = self.0.iter().find(|o| o.first.is_some_and(|f| segment.acknowledges(f)));
+        let count = |o: &&Owner| o.first.and_then(|f| segment.acknowledged(f));
+        let nearest = self.0.iter().filter(|o| count(o).is_some());
+        let matching = nearest.min_by_key(|o| count(o));
         let unknown = || self.0.iter().find(|o| o.first.is_none());
         let any = || self.0.first().filter(|_| !segment.marks.acks);
         matching.or_else(unknown).or_else(any).copied()
--- a/lib/src/connection/segment.rs
+++ b/lib/src/connection/segment.rs
@@ -4,6 +4,9 @@
 
 use super::flow::FlowKey;
 
+/// Bytes that a backend server sends on one flow at most.
+const REACH: u32 = 1 << 24;
+
 /// What a packet marks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Marks {
@@ -56,12 +59,18 @@
         self.seq.wrapping_add(u32::from(self.len)).wrapping_add(self.marks.closes.into())
     }
 
-    /// Returns whether the packet acknowledges bytes of a flow whose backend
-    /// server began to count at `first`.
-    pub fn acknowledges(&self, first: u32) -> bool {
-        // First numbers are drawn at random, so a flow with another one is
-        // nearly always further away than a flow's data can reach.
-        const REACH: u32 = 1 << 24;
-        self.marks.acks && self.ack.wrapping_sub(first) <= REACH
+    /// Returns how many bytes it acknowledges of a backend server that began to
+    /// count at `first`; none if that is more than a flow carries.
+    pub fn acknowledged(&self, first: u32) -> Option<u32> {
+        let count = self.ack.wrapping_sub(first);
+        (self.marks.acks && count <= REACH).then_some(count)
+    }
+
+    /// Returns whether the packet may be the first one after the answer of a
+    /// backend server that began to count at `first`. Two backend servers may
+    /// have answered with numbers that are close to each other, so only the
+    /// exact one counts.
+    pub fn chooses(&self, first: u32) -> bool {
+        self.marks.acks && self.ack == first.wrapping_add(1)
     }
 }
--- a/lib/src/connection/served.rs
+++ b/lib/src/connection/served.rs
@@ -45,6 +45,9 @@
     pub request: Option<Moment>,
     /// Last acknowledgement number of the caller.
     pub ack: u32,
+    /// Whether packets of both ends showed that it is here; what others told
+    /// may be an opening that the caller did not choose.
+    pub proven: bool,
     closed: Closed,
 }
 
@@ -101,7 +104,7 @@
     /// Takes in that the caller chose this backend server.
     pub fn establish(self, now: Moment) -> Flow<Established> {
         let first = Some(self.state.first);
-        self.step(Established::open(first), now)
+        self.step(Established { proven: true, ..Established::open(first) }, now)
     }
 }
 
@@ -132,6 +135,7 @@
     /// request that it begins to answer.
     pub fn from_backend(&mut self, segment: &Segment, now: Moment) -> Option<Moment> {
         self.used = now;
+        self.state.proven = true;
         self.state.closed.backend |= segment.marks.closes;
         if segment.len > 0 { self.state.request.take() } else { None }
     }
@@ -144,7 +148,8 @@
 
 impl Established {
     fn open(first: Option<u32>) -> Self {
-        Self { first, next: None, request: None, ack: 0, closed: Closed::default() }
+        let closed = Closed::default();
+        Self { first, next: None, request: None, ack: 0, proven: false, closed }
     }
 }
 
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -1,5 +1,7 @@
 //! Decisions of an agent.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -385,13 +387,18 @@
             }
             return;
         }
-        if self.host.was_ours(&segment) {
+        if self.host.was_ours(&flow) {
             self.host.end(&mut self.desk, &flow, now);
             if !segment.marks.aborts {
                 let event = Event::of(Decision::Reset).why(Reason::NotHere).flow(flow);
                 self.desk.record(event);
                 self.desk.step(Step::Reset { flow, seq: segment.ack });
             }
+        } else if let Some(entry) = self.host.served().get(&flow).and_then(|s| s.entry()) {
+            // Others told that the flow is here, and it is not.
+            self.host.end(&mut self.desk, &flow, now);
+            self.desk.send(entry, Message::Gone { flow });
+            self.find(entry, packet, now);
         }
     }
 
@@ -431,16 +438,18 @@
     /// Claims flows at homes that a change of the roster gave them.
     fn claim_at_new_homes(&mut self, before: &View, now: Moment) {
         let service = self.host.service(&self.desk).clone();
-        let old = before.roster.crew(&service);
-        let homes = |flow: &FlowKey, desk: &Desk| desk.homes(&service, flow);
-        for link in self.desk.others(&service) {
-            let was_home = |flow: &FlowKey| {
-                let ranks = old.into_iter().flat_map(|c| c.ranks(flow.hash(), super::desk::HOMES));
-                ranks.into_iter().any(|m| self.desk.link(m) == link)
-            };
-            let news = |flow: &FlowKey| homes(flow, &self.desk).contains(&link) && !was_home(flow);
-            for claim in self.host.claims(news, now) {
-                self.desk.send(link, claim);
+        let mut news: BTreeMap<SocketAddr, BTreeSet<FlowKey>> = BTreeMap::new();
+        for (flow, _) in self.host.served().iter() {
+            let old = self.desk.homes_in(&before.roster, &service, flow);
+            for home in self.desk.homes(&service, flow) {
+                if home != self.desk.me.link && !old.contains(&home) {
+                    news.entry(home).or_default().insert(*flow);
+                }
+            }
+        }
+        for (home, flows) in news {
+            for claim in self.host.claims(|flow| flows.contains(flow), now) {
+                self.desk.send(home, claim);
             }
         }
     }
--- a/lib/src/front/packet/desk.rs
+++ b/lib/src/front/packet/desk.rs
@@ -14,6 +14,7 @@
 use crate::value::name::Name;
 use crate::value::tally::Tally;
 use crate::version::member::Member;
+use crate::version::roster::Roster;
 
 /// Homes at which each flow is claimed, so that one may be lost.
 pub const HOMES: usize = 2;
@@ -79,7 +80,12 @@
 
     /// Returns the homes of a flow of a service.
     pub fn homes(&self, service: &Name, flow: &FlowKey) -> Vec<SocketAddr> {
-        let crew = self.view.roster.crew(service);
+        self.homes_in(&self.view.roster, service, flow)
+    }
+
+    /// Returns the homes of a flow of a service by a roster.
+    pub fn homes_in(&self, roster: &Roster, service: &Name, flow: &FlowKey) -> Vec<SocketAddr> {
+        let crew = roster.crew(service);
         let ranks = crew.into_iter().flat_map(|c| c.ranks(flow.hash(), HOMES));
         ranks.map(|m| self.link(m)).collect()
     }
--- a/lib/src/front/packet/host.rs
+++ b/lib/src/front/packet/host.rs
@@ -189,13 +189,13 @@
         match served {
             Served::Opening(flow) => flow.entry = Some(entry),
             Served::Answered(flow) if segment.is_opening() => flow.entry = Some(entry),
-            Served::Answered(flow) if segment.acknowledges(flow.state.first) => {
+            Served::Answered(flow) if segment.chooses(flow.state.first) => {
                 *served = flow.establish(now).into();
             }
             // The caller chose another backend server that answered too.
             Served::Answered(_) => return Err(NotServed::Absent),
             Served::Established(flow) => {
-                let other = |first| segment.marks.acks && !segment.acknowledges(first);
+                let other = |first| segment.marks.acks && segment.acknowledged(first).is_none();
                 if flow.state.first.is_some_and(other) {
                     return Err(NotServed::Absent);
                 }
@@ -302,12 +302,9 @@
 
     /// Returns whether a flow that the backend server gave back was its own,
     /// so that it is over.
-    pub fn was_ours(&self, segment: &Segment) -> bool {
-        match self.served.get(&segment.flow) {
-            Some(Served::Established(f)) => {
-                f.state.first.is_none_or(|first| segment.acknowledges(first))
-            }
-            Some(Served::Answered(f)) => segment.acknowledges(f.state.first),
+    pub fn was_ours(&self, flow: &FlowKey) -> bool {
+        match self.served.get(flow) {
+            Some(Served::Established(f)) => f.state.proven,
             _ => false,
         }
     }
--- a/lib/src/version/rank.rs
+++ b/lib/src/version/rank.rs
@@ -48,8 +48,12 @@
     pub fn first(&self, key: u64, count: usize) -> Vec<usize> {
         let seats = self.seats.iter().enumerate();
         let mut scores: Vec<_> = seats.map(|(i, s)| (s.score(key, self.alike), i)).collect();
+        if count < scores.len() {
+            scores.select_nth_unstable_by(count, |a, b| compare(b, a));
+            scores.truncate(count);
+        }
         scores.sort_unstable_by(|a, b| compare(b, a));
-        scores.into_iter().take(count).map(|(_, i)| i).collect()
+        scores.into_iter().map(|(_, i)| i).collect()
     }
 }
 
