Wait longer for the store's news; hear of it from other processes

Ruled out: serializable reads (seconds old); reads by some processes only (a third may be turned away). Change: waits are drawn up to 0.3 s for each registered backend server, so the fleet's calls don't grow with it; each process asks two agents what they know twice a second (entries) or one (agents); whoever is behind reads from the process that is ahead and renews its watches. Revisions are those of the last change, so processes that know as much agree.

--- a/daemon/src/connection/packet/entry.rs
+++ b/daemon/src/connection/packet/entry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonhollow_lib::front::packet::entry::Entry;
+use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_platform::packet;
 use lagoonhollow_platform::packet::Sender;
@@ -51,7 +52,8 @@
 pub async fn run(settings: &PacketSettings, sockets: Sockets, traffic: Traffic) -> io::Result<()> {
     let Traffic { mut commands, reports, mut view, clock, metrics, recorder, drain } = traffic;
     let Sockets { callers, link } = sockets;
-    let mut entry = Entry::open(settings.domain.clone(), settings.link.port(), clock.now());
+    let Incarnation(run) = clock.incarnation();
+    let mut entry = Entry::open(settings.domain.clone(), settings.link.port(), run, clock.now());
     let port = settings.callers.port();
     let metrics_too = metrics.clone();
     let mut outlet =
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -10,6 +10,7 @@
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_platform::error::StoreError;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
 use super::bridge::Command;
@@ -31,6 +32,8 @@
     pub knowledge: Knowledge,
     /// The clock.
     pub clock: Clock,
+    /// Told when another process knows more than the watches have brought.
+    pub lagging: Notify,
     /// The queue to the traffic thread.
     pub traffic: mpsc::Sender<Command>,
     // Only the control thread and the admin server take this lock.
@@ -47,7 +50,8 @@
     ) -> Self {
         let knowledge = Knowledge::open();
         let state = Mutex::new(Starting::NAME);
-        Self { settings, metrics, knowledge, clock, traffic, state }
+        let lagging = Notify::new();
+        Self { settings, metrics, knowledge, clock, lagging, traffic, state }
     }
 
     /// Shows the state that the life cycle has entered.
--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -20,17 +20,21 @@
 /// Time that the store is given for each call: it answers in milliseconds, and
 /// a connection whose answer is lost stays silent.
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
-/// Time that one watch waits. A connection may go silent at any time, which
-/// shows only after this; the shortest bound on a change is 3 s.
-const WATCH: Duration = Duration::from_millis(1_500);
+/// Shortest time that one watch waits. A connection may go silent at any time,
+/// which shows only after this, or when another process knows more.
+const MIN_WATCH: Duration = Duration::from_millis(1_500);
+/// Longest time that one watch waits for each process: with waits drawn up to
+/// this, some process notices a silent store within 2 s in a fleet of any size,
+/// and the fleet's calls don't grow with it.
+const WATCH_EACH: Duration = Duration::from_millis(300);
+/// Longest time that the store lets a watch wait.
+const MAX_WATCH: Duration = Duration::from_secs(25);
 /// Shortest time between two watches: entries change with their warm-up.
 const PACE: Duration = Duration::from_millis(300);
 /// First pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed reads.
 const LAST_PAUSE: Duration = Duration::from_millis(800);
-/// Silence of the store after which other processes are read.
-const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time for the own watch to bring what another process knows already.
 const HEAD_START: Duration = Duration::from_millis(400);
 
@@ -42,7 +46,17 @@
         shared.metrics.store_calls.inc();
         let read = match revision {
             None => store.routes().await.map(|r| r.map(some)),
-            Some(at) => store.watch_routes(at, WATCH).await.map(Some),
+            Some(at) => {
+                let wait = draw_wait(&shared);
+                tokio::select! {
+                    read = store.watch_routes(at, wait) => read.map(Some),
+                    // Another process knows more, so this watch is silent.
+                    () = shared.lagging.notified() => {
+                        revision = None;
+                        continue;
+                    }
+                }
+            }
         };
         match read {
             Ok(Some(read)) => {
@@ -95,26 +109,37 @@
 
 async fn read_members(store: &Store, shared: &Shared) -> Result<u64, StoreError> {
     let read = store.members().await?;
-    let now = shared.clock.now();
     shared.metrics.store_bytes.inc_by(read.bytes as u64);
     report(shared, &read.findings);
-    shared.knowledge.answered(now);
-    shared.knowledge.replace(read.found, now);
+    shared.knowledge.answered(shared.clock.now());
+    shared.knowledge.replace(read.found, shared.clock.now());
     shared.publish();
     Ok(read.revision)
 }
 
 async fn watch_members(store: &Store, shared: &Shared, after: u64) -> Result<u64, StoreError> {
-    let read = store.watch_members(after, WATCH).await?;
-    let now = shared.clock.now();
+    let wait = draw_wait(shared);
+    shared.knowledge.waits(wait + CALL_LIMIT, shared.clock.now());
+    let read = tokio::select! {
+        read = store.watch_members(after, wait) => read?,
+        // Another process knows more, so this watch is silent.
+        () = shared.lagging.notified() => return Err(StoreError::HistoryGone),
+    };
     shared.metrics.store_bytes.inc_by(read.bytes as u64);
     report(shared, &read.findings);
-    shared.knowledge.answered(now);
-    shared.knowledge.change(read.revision, read.found, now);
+    shared.knowledge.answered(shared.clock.now());
+    shared.knowledge.change(read.found, shared.clock.now());
     shared.publish();
     Ok(read.revision)
 }
 
+/// Returns how long the next watch waits.
+fn draw_wait(shared: &Shared) -> Duration {
+    let members = shared.knowledge.view().roster.members().len() as u32;
+    let longest = (MIN_WATCH + WATCH_EACH * members).min(MAX_WATCH);
+    rand::rng().random_range(MIN_WATCH..=longest)
+}
+
 /// Reads the processes at `peers` one after the other until there are routes.
 pub async fn ask_peers(client: Client, peers: Vec<SocketAddr>, shared: Arc<Shared>) {
     sleep(HEAD_START).await;
@@ -130,8 +155,8 @@
 pub async fn catch_up(client: &Client, peer: SocketAddr, known: Known, shared: &Shared) {
     sleep(HEAD_START).await;
     let mine = shared.knowledge.known();
-    let silent = shared.knowledge.silence(shared.clock.now()).is_none_or(|s| s >= SILENCE);
-    if known.routes > mine.routes || (silent && known.roster > mine.roster) {
+    if known.routes > mine.routes || known.roster > mine.roster {
+        shared.lagging.notify_waiters();
         pull(client, peer, shared).await;
     }
 }
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -16,9 +16,9 @@
 
 use super::exchange::Exchange;
 
-/// Silence of the store after which a missing backend server may only be
-/// unknown: some reads in a row have failed then.
-const FRESH: Duration = Duration::from_secs(3);
+/// Time beyond the end of a watch within which the store has answered if it
+/// can: a missing backend server is known to be missing until then.
+const FRESH: Duration = Duration::from_secs(2);
 
 /// Knowledge of the process, which only the control thread changes.
 #[derive(Debug)]
@@ -31,7 +31,9 @@
 #[derive(Debug, Default)]
 struct State {
     registry: Registry,
-    answered: Option<Moment>,
+    answered: Moment,
+    // When the next answer is due at the latest.
+    due: Moment,
     changed: bool,
 }
 
@@ -77,13 +79,23 @@
     pub fn answered(&self, now: Moment) {
         let mut state = self.lock();
         state.registry.answered(now);
-        state.answered = Some(now);
+        state.answered = now;
+        state.due = now;
+    }
+
+    /// Takes in that the store, which has just answered, is asked for changes
+    /// and may take `wait` to answer.
+    pub fn waits(&self, wait: Duration, now: Moment) {
+        let mut state = self.lock();
+        if now < state.due + FRESH {
+            state.due = now + wait;
+        }
     }
 
     /// Takes in changes that the store told.
-    pub fn change(&self, revision: u64, changes: Vec<Change>, now: Moment) {
+    pub fn change(&self, changes: Vec<Change>, now: Moment) {
         let mut state = self.lock();
-        state.changed |= state.registry.change(revision, changes, now);
+        state.changed |= state.registry.change(changes, now);
     }
 
     /// Takes in all entries, from the store or from a process that knows more.
@@ -92,25 +104,22 @@
         state.changed |= state.registry.replace(listing, now);
     }
 
-    /// Returns the time since the store last answered.
-    pub fn silence(&self, now: Moment) -> Option<Duration> {
-        self.lock().answered.map(|at| now.since(at))
-    }
-
     /// Shows the traffic thread what has changed.
     pub fn publish(&self, now: Moment) {
         let mut state = self.lock();
         state.changed |= state.registry.expire(now);
-        let fresh = state.answered.is_some_and(|at| now.since(at) < FRESH);
-        let changed = std::mem::take(&mut state.changed);
-        if changed {
-            let roster = state.registry.roster().into();
-            drop(state);
-            self.view.send_modify(|view| (view.roster, view.fresh) = (roster, fresh));
-        } else if fresh != self.view.borrow().fresh {
-            drop(state);
-            self.view.send_modify(|view| view.fresh = fresh);
-        }
+        let fresh = state.answered > Moment::default() && now < state.due + FRESH;
+        let read = state.answered;
+        let roster = std::mem::take(&mut state.changed).then(|| state.registry.roster());
+        drop(state);
+        self.view.send_if_modified(|view| {
+            let news = roster.is_some() || fresh != view.fresh || read != view.read;
+            (view.fresh, view.read) = (fresh, read);
+            if let Some(roster) = roster {
+                view.roster = roster.into();
+            }
+            news
+        });
     }
 
     /// Returns what another process needs to know as much.
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -31,6 +31,8 @@
 
 /// Time between two searches for what is no longer used.
 const EXPIRE: Duration = Duration::from_secs(1);
+/// Time between two questions to agents of any service.
+const ASK: Duration = Duration::from_millis(500);
 /// Copies of an opening packet that go to the backend server which answered
 /// the first one; with the next the caller has waited for 600 ms.
 const COPIES_TO_OWNER: u8 = 1;
@@ -47,6 +49,7 @@
     greeted: bool,
     took: bool,
     beat: Moment,
+    asked: Moment,
     expired: Moment,
 }
 
@@ -64,6 +67,7 @@
             greeted: false,
             took: false,
             beat: now,
+            asked: now,
             expired: now,
         }
     }
@@ -252,6 +256,8 @@
                 self.placer.neighbours.heard(from, neighbour);
             }
             Message::Hello => self.greet(from, now),
+            Message::Ask => self.desk.send(from, Message::News),
+            Message::News => {}
             Message::Owned { flows } => self.host.recover(&mut self.desk, &flows, now),
             _ => self.desk.tally.add(Reason::Malformed),
         }
@@ -467,9 +473,17 @@
         }
     }
 
-    /// Tells the other agents of the service how this one is.
+    /// Tells the other agents of the service how this one is, and asks one of
+    /// any service what it knows.
     fn tell(&mut self, now: Moment) {
         self.beat = now;
+        if now.since(self.asked) >= ASK {
+            self.asked = now;
+            if let Some(member) = self.placer.any(&self.desk.view.roster) {
+                let link = self.desk.link(&member);
+                self.desk.send(link, Message::Ask);
+            }
+        }
         let service = self.host.service(&self.desk).clone();
         let load = self.host.load(now);
         let (run, takes) = (self.desk.me.run, self.host.takes(now));
--- a/lib/src/front/packet/entry.rs
+++ b/lib/src/front/packet/entry.rs
@@ -4,6 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64Mcg;
+
 use super::event::Decision;
 use super::event::Event;
 use super::message::Known;
@@ -27,6 +31,10 @@
 const MAX_HOMES: usize = 3;
 /// Time for which a home that did not answer is passed over.
 const SUSPICION: Duration = Duration::from_secs(1);
+/// Time between two rounds of asking agents what they know.
+const ASK: Duration = Duration::from_millis(500);
+/// Agents asked in one round.
+const ASKED: usize = 2;
 /// Time between two searches for hints that nothing has used.
 const EXPIRE: Duration = Duration::from_secs(1);
 /// Time for which a hint is kept while no version says how long flows last.
@@ -42,13 +50,16 @@
     unrouted: UnroutedFlows,
     suspects: HashMap<SocketAddr, Moment>,
     expired: Moment,
+    asked: Moment,
+    rng: Pcg64Mcg,
     tally: Tally,
     steps: Vec<Step>,
 }
 
 impl Entry {
     /// Opens an entry in a failure domain; agents take datagrams on `port`.
-    pub fn open(domain: Name, port: u16, now: Moment) -> Self {
+    /// `seed` is for random choices.
+    pub fn open(domain: Name, port: u16, seed: u64, now: Moment) -> Self {
         Self {
             domain,
             port,
@@ -57,6 +68,8 @@
             unrouted: UnroutedFlows::default(),
             suspects: HashMap::new(),
             expired: now,
+            asked: now,
+            rng: Pcg64Mcg::seed_from_u64(seed),
             tally: Tally::default(),
             steps: Vec::new(),
         }
@@ -138,6 +151,7 @@
             }
             Message::Taken { flow } => self.unrouted.end(&flow),
             Message::Gone { flow } => self.hints.remove(&flow, from),
+            Message::News => {}
             _ => self.tally.add(Reason::WrongService),
         }
     }
@@ -150,6 +164,10 @@
             }
             self.try_home(unrouted, now);
         }
+        if now.since(self.asked) >= ASK {
+            self.asked = now;
+            self.ask();
+        }
         if now.since(self.expired) >= EXPIRE {
             self.expired = now;
             let idle = self.view.routes.published().idle.max(MIN_IDLE);
@@ -158,6 +176,17 @@
         }
     }
 
+    /// Asks some agents what they know: the source may be silent here.
+    fn ask(&mut self) {
+        let roster = self.view.roster.clone();
+        for _ in 0..ASKED {
+            if let Some(member) = roster.members().choose(&mut self.rng) {
+                let to = self.link(member);
+                self.steps.push(Step::Send { to, message: Message::Ask, packet: None });
+            }
+        }
+    }
+
     /// Sends the packets of a flow to the next of its homes.
     fn try_home(&mut self, mut unrouted: Unrouted, now: Moment) {
         let Some(first) = unrouted.packets.first() else { return };
--- a/lib/src/front/packet/host.rs
+++ b/lib/src/front/packet/host.rs
@@ -387,7 +387,8 @@
         }
         // An entry that outlasts the heartbeats of a dead backend server is kept
         // up by a living one.
-        let kept_up = self.vitals.doubted(now).is_some_and(|d| d >= desk.me.lapse);
+        let lapsed = |since: Moment| desk.view.read >= since + desk.me.lapse;
+        let kept_up = self.vitals.doubted().is_some_and(lapsed);
         if kept_up && desk.view.fresh && self.member.is_some() {
             self.proven(desk, now);
         }
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -104,6 +104,10 @@
         /// Whether it takes new flows.
         takes: bool,
     },
+    /// Asks for what the receiver knows, which every message tells.
+    Ask,
+    /// Answers [`Message::Ask`].
+    News,
     /// A new run asks what others know of its flows and of those it is home of.
     Hello,
     /// Flows that the receiver's earlier run owned.
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -1,10 +1,12 @@
 //! Placing of flows that open.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 
 use super::desk::Desk;
@@ -24,6 +26,7 @@
 use crate::value::reason::Reason;
 use crate::version::member::Member;
 use crate::version::member::Standing;
+use crate::version::roster::Roster;
 
 /// Advantage of a backend server in the caller's failure domain: answers that
 /// cross domains take longer and are paid for.
@@ -107,6 +110,11 @@
         }
     }
 
+    /// Returns any registered backend server.
+    pub fn any(&mut self, roster: &Roster) -> Option<Arc<Member>> {
+        roster.members().choose(&mut self.rng).cloned()
+    }
+
     /// Returns whether placements are going on.
     pub fn is_waiting(&self) -> bool {
         !self.placings.is_empty()
--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -83,9 +83,8 @@
         }
     }
 
-    /// Takes in changes up to `revision`; returns whether anything is new.
-    pub fn change(&mut self, revision: u64, changes: Vec<Change>, now: Moment) -> bool {
-        self.revision = self.revision.max(revision);
+    /// Takes in changes; returns whether anything is new.
+    pub fn change(&mut self, changes: Vec<Change>, now: Moment) -> bool {
         let mut news = false;
         for change in changes {
             news |= match change {
@@ -104,7 +103,7 @@
         let removed = |name| Change::Removed { name, revision };
         let mut changes: Vec<_> = missing.into_iter().map(removed).collect();
         changes.extend(entries.into_iter().map(Change::Set));
-        self.change(revision, changes, now)
+        self.change(changes, now)
     }
 
     /// Gives up entries that did not come back; returns whether any was.
@@ -129,7 +128,8 @@
         Listing { revision: self.revision, entries: self.present.values().cloned().collect() }
     }
 
-    /// Returns the revision up to which changes were taken in.
+    /// Returns the revision of the last change, which is the same in every
+    /// process that knows as much.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -141,6 +141,7 @@
         if last.is_some_and(|last| entry.revision < last) {
             return false;
         }
+        self.revision = self.revision.max(entry.revision);
         self.removed.remove(&name);
         let lapsed = self.lapsed.remove(&name).is_some();
         let member = entry.member.clone();
@@ -154,6 +155,7 @@
             return false;
         }
         let Some(entry) = self.present.remove(name) else { return false };
+        self.revision = self.revision.max(revision);
         if self.removed.len() >= MAX_REMOVED {
             self.removed.pop_first();
         }
--- a/lib/src/process/view.rs
+++ b/lib/src/process/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::value::moment::Moment;
 use crate::version::roster::Roster;
 use crate::version::routes::InForce;
 use crate::version::routes::Routes;
@@ -13,7 +14,9 @@
     pub routes: Arc<Routes<InForce>>,
     /// The registered backend servers.
     pub roster: Arc<Roster>,
-    /// Whether the source of both answered lately, so that a missing backend
-    /// server is known to be missing.
+    /// Whether the source of both answers, so that a missing backend server is
+    /// known to be missing.
     pub fresh: bool,
+    /// When the source last answered.
+    pub read: Moment,
 }
--- a/lib/src/process/vitals.rs
+++ b/lib/src/process/vitals.rs
@@ -57,9 +57,9 @@
         self.condition
     }
 
-    /// Returns for how long the backend server has not been believed to work.
-    pub fn doubted(&self, now: Moment) -> Option<Duration> {
-        (self.condition != Condition::Working).then(|| now.since(self.since))
+    /// Returns since when the backend server has not been believed to work.
+    pub fn doubted(&self) -> Option<Moment> {
+        (self.condition != Condition::Working).then_some(self.since)
     }
 
     /// Takes in a packet that any run sends. It is no proof that the run is the
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -203,7 +203,7 @@
     /// Starts an entry.
     pub fn start_entry(&mut self, i: usize) {
         let domain = format!("d-{}", i % 3).into();
-        let entry = Entry::open(domain, LINK_PORT, self.now);
+        let entry = Entry::open(domain, LINK_PORT, self.now.0, self.now);
         self.entries[i].process = Some(Process::Entry(Box::new(entry)));
         self.schedule_process(self.entries[i].link);
     }
@@ -435,7 +435,8 @@
         node.registry.expire(now);
         let readable = node.silent.is_none();
         let routes = if readable { routes } else { node.shown.routes.clone() };
-        let view = View { routes, roster: node.registry.roster().into(), fresh: readable };
+        let read = if readable { now } else { node.shown.read };
+        let view = View { routes, roster: node.registry.roster().into(), fresh: readable, read };
         node.enforce(view, now);
         self.perform(link);
         self.after(READ.max(lag), What::Read(link));
