Let requests wait at the agent for a slot, those first that can be in time

Change: WaitingRequests (lib/request): a request starts when a slot is free; what can still be in time goes first, by priority and time left, what is late after it by the time until its caller gives up.

--- a/lib/src/connection/served.rs
+++ b/lib/src/connection/served.rs
@@ -41,8 +41,8 @@
     pub first: Option<u32>,
     /// Number of the next new byte from the caller.
     pub next: Option<u32>,
-    /// When the request in progress arrived.
-    pub request: Option<Moment>,
+    /// The request in progress.
+    pub request: Option<Request>,
     /// Last acknowledgement number of the caller.
     pub ack: u32,
     /// Whether packets of both ends showed that it is here; what others told
@@ -51,6 +51,15 @@
     closed: Closed,
 }
 
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// It waits at the agent.
+    Waiting,
+    /// The backend server has it since then.
+    Started(Moment),
+}
+
 /// Which ends have closed the flow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Closed {
@@ -67,6 +76,8 @@
     pub placer: Option<SocketAddr>,
     /// When it was last used.
     pub used: Moment,
+    /// For how long the caller had waited before its opening packet came.
+    pub waited: Duration,
     /// What the state holds.
     pub state: S,
 }
@@ -84,14 +95,16 @@
 
 impl<S> Flow<S> {
     fn step<T>(self, state: T, now: Moment) -> Flow<T> {
-        Flow { entry: self.entry, placer: self.placer, used: now, state }
+        let Self { entry, placer, waited, .. } = self;
+        Flow { entry, placer, used: now, waited, state }
     }
 }
 
 impl Flow<Opening> {
     /// Opens a flow whose opening packet is passed to the backend server.
     pub fn open(entry: Option<SocketAddr>, placer: Option<SocketAddr>, now: Moment) -> Self {
-        Self { entry, placer, used: now, state: Opening { offered: now } }
+        let state = Opening { offered: now };
+        Self { entry, placer, used: now, waited: Duration::ZERO, state }
     }
 
     /// Takes in the backend server's answer.
@@ -111,10 +124,12 @@
 impl Flow<Established> {
     /// Opens a flow that is known to be established from elsewhere.
     pub fn learn(entry: Option<SocketAddr>, first: Option<u32>, now: Moment) -> Self {
-        Self { entry, placer: None, used: now, state: Established::open(first) }
+        let state = Established::open(first);
+        Self { entry, placer: None, used: now, waited: Duration::ZERO, state }
     }
 
-    /// Takes in a packet of the caller; returns whether it begins a request.
+    /// Takes in a packet of the caller; returns whether it begins a request,
+    /// which waits then.
     pub fn from_caller(&mut self, segment: &Segment, now: Moment) -> bool {
         self.used = now;
         self.state.ack = segment.ack;
@@ -126,18 +141,29 @@
         }
         let begins = fresh && self.state.request.is_none();
         if begins {
-            self.state.request = Some(now);
+            self.state.request = Some(Request::Waiting);
         }
         begins
     }
 
-    /// Takes in a packet of the backend server; returns the arrival of the
-    /// request that it begins to answer.
+    /// Takes in that the request is passed to the backend server.
+    pub fn start(&mut self, now: Moment) {
+        self.state.request = Some(Request::Started(now));
+    }
+
+    /// Takes in a packet of the backend server; returns the start of the
+    /// request that it begins to answer, or ends without an answer.
     pub fn from_backend(&mut self, segment: &Segment, now: Moment) -> Option<Moment> {
         self.used = now;
         self.state.proven = true;
         self.state.closed.backend |= segment.marks.closes;
-        if segment.len > 0 { self.state.request.take() } else { None }
+        match self.state.request {
+            Some(Request::Started(at)) if segment.len > 0 || segment.marks.closes => {
+                self.state.request = None;
+                Some(at)
+            }
+            _ => None,
+        }
     }
 
     /// Returns whether both ends have closed the flow.
--- a/lib/src/front/packet/host.rs
+++ b/lib/src/front/packet/host.rs
@@ -16,12 +16,15 @@
 use crate::connection::served::Established;
 use crate::connection::served::Flow;
 use crate::connection::served::Opening;
+use crate::connection::served::Request;
 use crate::connection::served::Served;
 use crate::connection::served::ServedFlows;
 use crate::process::vitals::Condition;
 use crate::process::vitals::Vitals;
 use crate::request::pace::Load;
 use crate::request::pace::Pace;
+use crate::request::waiting::Waiting;
+use crate::request::waiting::WaitingRequests;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
 use crate::value::reason::Reason;
@@ -30,10 +33,18 @@
 
 /// Time for the backend server to answer an opening packet.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+/// Requests passed to the backend server beyond its slots, so that a slot which
+/// becomes free is used at once.
+const AHEAD: u32 = 1;
+/// Time on the way from and to the caller, and for the opening.
+const WAY: Duration = Duration::from_millis(12);
 /// Time for which an offered packet of an unknown flow may be given back.
 const OFFER_LIFE: Duration = Duration::from_secs(1);
 /// Unknown flows offered at once at most.
 const MAX_OFFERS: usize = 4_096;
+/// Time since the first opening packet at which each copy is sent.
+const COPIES: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
 /// Flows told in one datagram.
 const FLOWS_A_DATAGRAM: usize = 30;
 
@@ -62,6 +73,7 @@
     member: Option<Arc<Member>>,
     served: ServedFlows,
     offers: HashMap<FlowKey, Offer>,
+    waiting: WaitingRequests,
     pace: Pace,
     vitals: Vitals,
     // Whether the table has every flow of the backend server.
@@ -78,6 +90,7 @@
             member: None,
             served: ServedFlows::default(),
             offers: HashMap::new(),
+            waiting: WaitingRequests::default(),
             pace: Pace::open(now),
             vitals: Vitals::open(now),
             complete,
@@ -114,7 +127,7 @@
 
     /// Returns the load that others are told.
     pub fn load(&mut self, now: Moment) -> Load {
-        self.pace.load(self.slots(), self.served.count(), now)
+        self.pace.load(self.slots(), self.waiting.count(), self.served.count(), now)
     }
 
     /// Takes in a planned stop of the agent.
@@ -163,8 +176,10 @@
         now: Moment,
     ) {
         let flow = packet.segment.flow;
+        let waited = COPIES.get(usize::from(packet.segment.copy)).copied().unwrap_or_default();
+        let opening = Flow { waited, ..Flow::<Opening>::open(Some(entry), placer, now) };
         if !matches!(self.served.get(&flow), Some(Served::Answered(_) | Served::Established(_)))
-            && !self.served.put(flow, Flow::<Opening>::open(Some(entry), placer, now))
+            && !self.served.put(flow, opening)
         {
             desk.tally.add(Reason::FlowsFull);
         }
@@ -203,17 +218,79 @@
         }
         if let Served::Established(flow) = served {
             flow.entry = Some(entry);
-            if flow.from_caller(segment, now) {
-                self.pace.begin(now);
-            }
+            let begins = flow.from_caller(segment, now);
             if segment.marks.aborts {
                 self.end(desk, &segment.flow, now);
+            } else if segment.marks.closes && self.waiting.join(packet) {
+                // The caller may still want the answer to what it sent before.
+                return Ok(());
+            } else if segment.marks.closes {
+                self.give_up(&segment.flow, now);
+            } else if begins && self.wait(desk, packet, now) {
+                self.start_waiting(desk, now);
+                return Ok(());
+            } else if segment.len > 0 && self.waiting.join(packet) {
+                return Ok(());
             }
         }
         desk.step(Step::Backend(packet.clone()));
         Ok(())
     }
 
+    /// Ends the request of a flow without an answer.
+    fn give_up(&mut self, flow: &FlowKey, now: Moment) {
+        let Some(Served::Established(f)) = self.served.get_mut(flow) else { return };
+        match f.state.request.take() {
+            Some(Request::Started(_)) => self.pace.drop_one(now),
+            Some(Request::Waiting) => drop(self.waiting.remove(flow)),
+            None => {}
+        }
+    }
+
+    /// Lets a request wait for a slot; returns false if it can't.
+    fn wait(&mut self, desk: &Desk, packet: &Packet, now: Moment) -> bool {
+        let flow = packet.segment.flow;
+        let Some(route) = desk.view.routes.route(flow.service) else {
+            self.begin(&flow, now);
+            return false;
+        };
+        // Only the first request of a flow can have waited for its opening.
+        let waited = match self.served.get_mut(&flow) {
+            Some(Served::Established(f)) => std::mem::take(&mut f.waited) + WAY,
+            _ => WAY,
+        };
+        let waiting = Waiting {
+            packets: vec![packet.clone()],
+            priority: route.priority,
+            aim: now + route.aim.saturating_sub(waited),
+            end: now + route.timeout.saturating_sub(waited),
+        };
+        let waits = self.waiting.start(flow, waiting);
+        if !waits {
+            self.begin(&flow, now);
+        }
+        waits
+    }
+
+    /// Takes in that a request is passed to the backend server.
+    fn begin(&mut self, flow: &FlowKey, now: Moment) {
+        if let Some(Served::Established(flow)) = self.served.get_mut(flow) {
+            flow.start(now);
+            self.pace.begin(now);
+        }
+    }
+
+    /// Passes requests that wait to free slots.
+    fn start_waiting(&mut self, desk: &mut Desk, now: Moment) {
+        while self.pace.busy() < self.slots().saturating_add(AHEAD) {
+            let Some((flow, waiting)) = self.waiting.next(self.pace.unit(), now) else { return };
+            self.begin(&flow, now);
+            for packet in waiting.packets {
+                desk.step(Step::Backend(packet));
+            }
+        }
+    }
+
     /// Passes a packet of an unknown flow to the backend server, which gives it
     /// back if it does not have the flow.
     pub fn try_unknown(
@@ -271,6 +348,7 @@
         if !self.served.put(flow, after) {
             desk.tally.add(Reason::FlowsFull);
         }
+        self.start_waiting(desk, now);
         let news = match &before {
             None | Some(Served::Opening(_)) => true,
             Some(Served::Answered(_)) => matches!(after, Served::Answered(_)),
@@ -282,7 +360,11 @@
     fn reply(&mut self, mut flow: Flow<Established>, segment: &Segment, now: Moment) -> Served {
         if let Some(arrived) = flow.from_backend(segment, now) {
             let slots = self.slots();
-            self.pace.end(now.since(arrived), slots, now);
+            match segment.len {
+                // It says nothing of the backend server's speed.
+                0 => self.pace.drop_one(now),
+                _ => self.pace.end(now.since(arrived), slots, now),
+            }
         }
         flow.into()
     }
@@ -336,8 +418,9 @@
 
     /// Ends a flow.
     pub fn end(&mut self, desk: &mut Desk, flow: &FlowKey, now: Moment) {
+        self.give_up(flow, now);
         let Some(served) = self.served.remove(flow) else { return };
-        self.ended(desk, flow, &served, now);
+        self.ended(desk, flow, &served);
     }
 
     /// Takes in flows that an earlier run of this agent had.
@@ -368,6 +451,11 @@
 
     /// Does what is due by time; returns opening packets that were not answered.
     pub fn tick(&mut self, desk: &mut Desk, now: Moment) -> Vec<(FlowKey, Flow<Opening>)> {
+        for flow in self.waiting.expire(now) {
+            let event = Event::of(Decision::Dropped).why(Reason::Expired).flow(flow);
+            desk.record(event);
+        }
+        self.start_waiting(desk, now);
         let late = self.served.unanswered(now - ANSWER_TIMEOUT);
         for (flow, _) in &late {
             self.served.remove(flow);
@@ -398,7 +486,12 @@
     /// Forgets what is no longer used.
     pub fn expire(&mut self, desk: &mut Desk, now: Moment) {
         for (flow, served) in self.served.expire(desk.idle(), now) {
-            self.ended(desk, &flow, &served, now);
+            if let Served::Established(f) = served
+                && let Some(Request::Started(_)) = f.state.request
+            {
+                self.pace.drop_one(now);
+            }
+            self.ended(desk, &flow, &served);
         }
         self.offers.retain(|_, o| now.since(o.at) < OFFER_LIFE);
     }
@@ -407,12 +500,7 @@
         self.member.as_ref().map_or(1, |m| m.slots)
     }
 
-    fn ended(&mut self, desk: &mut Desk, flow: &FlowKey, served: &Served, now: Moment) {
-        if let Served::Established(f) = served
-            && f.state.request.is_some()
-        {
-            self.pace.drop_one(now);
-        }
+    fn ended(&self, desk: &mut Desk, flow: &FlowKey, served: &Served) {
         if matches!(served, Served::Opening(_)) {
             return;
         }
@@ -449,8 +537,9 @@
                 desk.record(Event::of(Decision::Reset).why(Reason::NotHere).flow(flow));
                 desk.step(Step::Reset { flow, seq: f.state.ack });
             }
-            self.ended(desk, &flow, &served, now);
+            self.ended(desk, &flow, &served);
         }
         self.pace.clear(now);
+        self.waiting.clear();
     }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -17,4 +17,5 @@
 pub mod run;
 pub mod token;
 pub mod votes;
+pub mod waiting;
 pub mod witness;
--- a/lib/src/request/pace.rs
+++ b/lib/src/request/pace.rs
@@ -23,7 +23,7 @@
 /// What a backend server has to do, as its agent tells it to others.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests in progress.
+    /// Requests in progress and waiting.
     pub busy: u16,
     /// Requests in progress on average, in hundredths.
     pub mean: u32,
@@ -50,6 +50,16 @@
         Self { unit: FIRST_UNIT.as_micros() as f64, busy: 0, mean: 0.0, at: now }
     }
 
+    /// Returns the requests in progress.
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// Returns the time that one request needs in a free slot.
+    pub fn unit(&self) -> Duration {
+        Duration::from_micros(self.unit as u64)
+    }
+
     /// Takes in that a request began.
     pub fn begin(&mut self, now: Moment) {
         self.average(now);
@@ -78,11 +88,12 @@
         self.mean = 0.0;
     }
 
-    /// Returns what others are told.
-    pub fn load(&mut self, slots: u32, flows: usize, now: Moment) -> Load {
+    /// Returns what others are told, with `waiting` requests that have not begun.
+    pub fn load(&mut self, slots: u32, waiting: usize, flows: usize, now: Moment) -> Load {
         self.average(now);
+        let busy = self.busy.saturating_add(waiting as u32);
         Load {
-            busy: self.busy.min(u32::from(u16::MAX)) as u16,
+            busy: busy.min(u32::from(u16::MAX)) as u16,
             mean: (self.mean * 100.0) as u32,
             unit: self.unit as u32,
             flows: flows as u32,
--- /dev/null
+++ b/lib/src/request/waiting.rs
@@ -0,0 +1,90 @@
+//! Requests that wait at an agent for a slot of its backend server.
+//!
+//! Answers the load pattern of callers that all come back at once after a
+//! failure, and of bursts above what the slots can do: in the backend server's
+//! own queue, the first in line makes everybody behind it late. Here, what can
+//! still be answered in time goes before what can't, by priority and then by
+//! the time left; what is late goes when there is room.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::connection::flow::FlowKey;
+use crate::connection::segment::Packet;
+use crate::value::moment::Moment;
+
+/// Requests that wait at most; more pass without waiting.
+const MAX_WAITING: usize = 4_096;
+/// Packets kept of one request: both ends have 16 in flight at most.
+const MAX_PACKETS: usize = 16;
+
+/// One request that waits.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Its packets.
+    pub packets: Vec<Packet>,
+    /// Rank of its route; 0 goes first.
+    pub priority: u8,
+    /// When its caller wants the answer.
+    pub aim: Moment,
+    /// When its caller gives up.
+    pub end: Moment,
+}
+
+/// The requests that wait for one backend server.
+#[derive(Debug, Default)]
+pub struct WaitingRequests {
+    flows: HashMap<FlowKey, Waiting>,
+}
+
+impl WaitingRequests {
+    /// Lets a request wait; returns false if too many do.
+    pub fn start(&mut self, flow: FlowKey, waiting: Waiting) -> bool {
+        let room = self.flows.len() < MAX_WAITING;
+        if room {
+            self.flows.insert(flow, waiting);
+        }
+        room
+    }
+
+    /// Adds a packet to a request that waits; returns false if none does.
+    pub fn join(&mut self, packet: &Packet) -> bool {
+        let Some(waiting) = self.flows.get_mut(&packet.segment.flow) else { return false };
+        let again = |p: &Packet| p.segment.seq == packet.segment.seq;
+        if waiting.packets.len() < MAX_PACKETS && !waiting.packets.iter().any(again) {
+            waiting.packets.push(packet.clone());
+        }
+        true
+    }
+
+    /// Takes out the request that is best started now, if it takes `unit`.
+    pub fn next(&mut self, unit: Duration, now: Moment) -> Option<(FlowKey, Waiting)> {
+        let rank = |w: &Waiting| {
+            let late = now + unit > w.aim;
+            (late, w.priority, if late { w.end } else { w.aim })
+        };
+        let best = self.flows.iter().min_by_key(|(flow, w)| (rank(w), **flow));
+        let flow = best.map(|(flow, _)| *flow)?;
+        self.flows.remove_entry(&flow)
+    }
+
+    /// Takes out a request whose flow has ended.
+    pub fn remove(&mut self, flow: &FlowKey) -> Option<Waiting> {
+        self.flows.remove(flow)
+    }
+
+    /// Takes out the requests that their callers have given up.
+    pub fn expire(&mut self, now: Moment) -> Vec<FlowKey> {
+        self.flows.extract_if(|_, w| w.end <= now).map(|(flow, _)| flow).collect()
+    }
+
+    /// Forgets all requests.
+    pub fn clear(&mut self) {
+        self.flows.clear();
+    }
+
+    /// Returns the number of requests.
+    pub fn count(&self) -> usize {
+        self.flows.len()
+    }
+}
