Read at once from a store that returns; charge agents of which nothing was heard

Change: a process that can serve nobody tries every 150 ms, and every 200 ms beside an attempt that waits. After a restart of all, placements count also at agents that were not heard yet.

--- a/daemon/src/process/packet/recorder.rs
+++ b/daemon/src/process/packet/recorder.rs
@@ -33,12 +33,13 @@
         if *used > BUDGET {
             return;
         }
-        let reason = event.reason.map(|r| r.to_string()).unwrap_or_default();
+        let absent = || "-".to_owned();
+        let reason = event.reason.map_or_else(absent, |r| r.to_string());
         let (caller, service) = match event.flow {
             Some(flow) => (flow.caller.to_string(), flow.service.to_string()),
-            None => Default::default(),
+            None => (absent(), absent()),
         };
-        let peer = event.peer.map(|p| p.ip().to_string()).unwrap_or_default();
+        let peer = event.peer.map_or_else(absent, |p| p.ip().to_string());
         let Known { routes, roster } = known;
         spdlog::log!(level(event.decision), "{}", event.decision, kv: {
             caller, service, reason, peer, value = event.value, routes, roster
--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use lagoonhollow_lib::front::packet::message::Known;
 use lagoonhollow_lib::value::findings::Findings;
 use lagoonhollow_lib::value::reason::Reason;
@@ -35,6 +37,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed reads.
 const LAST_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause while the process knows too little to serve anybody.
+const IDLE_PAUSE: Duration = Duration::from_millis(150);
+/// Time after which a first read is attempted again beside the one that waits.
+const HEDGE: Duration = Duration::from_millis(200);
+/// Attempts of one read at once.
+const MAX_ATTEMPTS: usize = 4;
 /// Time for the own watch to bring what another process knows already.
 const HEAD_START: Duration = Duration::from_millis(400);
 
@@ -45,7 +53,7 @@
     loop {
         shared.metrics.store_calls.inc();
         let read = match revision {
-            None => store.routes().await.map(|r| r.map(some)),
+            None => hedged(|| store.routes(), &shared).await.map(|r| r.map(some)),
             Some(at) => {
                 let wait = draw_wait(&shared);
                 tokio::select! {
@@ -70,11 +78,11 @@
                 pause.reset();
             }
             // Nothing was published yet.
-            Ok(None) => pause.wait().await,
+            Ok(None) => pause.wait(&shared).await,
             Err(StoreError::HistoryGone) => revision = None,
             Err(error) => {
                 shared.lost("routes", &error, &mut pause.failing);
-                pause.wait().await;
+                pause.wait(&shared).await;
             }
         }
     }
@@ -87,7 +95,7 @@
     loop {
         shared.metrics.store_calls.inc();
         let result = match revision {
-            None => read_members(&store, &shared).await,
+            None => hedged(|| read_members(&store, &shared), &shared).await,
             Some(at) => watch_members(&store, &shared, at).await,
         };
         match result {
@@ -101,7 +109,7 @@
             Err(error) => {
                 shared.knowledge.failed();
                 shared.lost("members", &error, &mut pause.failing);
-                pause.wait().await;
+                pause.wait(&shared).await;
             }
         }
     }
@@ -133,6 +141,30 @@
     Ok(read.revision)
 }
 
+/// Reads with a second and third attempt before the first has failed: a process
+/// that knows nothing serves nobody, and an attempt made while the store was
+/// away stays without an answer after its return.
+async fn hedged<T, F>(read: impl Fn() -> F, shared: &Shared) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let mut attempts = FuturesUnordered::new();
+    attempts.push(read());
+    loop {
+        let more = attempts.len() < MAX_ATTEMPTS;
+        tokio::select! {
+            Some(result) = attempts.next() => match result {
+                Err(_) if !attempts.is_empty() => {}
+                result => return result,
+            },
+            () = sleep(HEDGE), if more => {
+                shared.metrics.store_calls.inc();
+                attempts.push(read());
+            }
+        }
+    }
+}
+
 /// Returns how long the next watch waits.
 fn draw_wait(shared: &Shared) -> Duration {
     let members = shared.knowledge.view().roster.members().len() as u32;
@@ -206,8 +238,9 @@
         self.next = FIRST_PAUSE;
     }
 
-    async fn wait(&mut self) {
+    async fn wait(&mut self, shared: &Shared) {
         sleep(self.next.mul_f64(rand::rng().random_range(0.5..1.0))).await;
-        self.next = (self.next * 2).min(LAST_PAUSE);
+        let serves = shared.is_ready();
+        self.next = (self.next * 2).min(if serves { LAST_PAUSE } else { IDLE_PAUSE });
     }
 }
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -168,7 +168,11 @@
         match self.neighbours.get(link) {
             Some(n) if !n.takes || n.service != member.service => None,
             Some(n) => Some(n.load.completion(n.charged)),
-            None => Some(Load::unknown(member.slots).completion(0) + UNHEARD.as_micros() as f64),
+            None => {
+                let charged = self.neighbours.charged_unheard(link);
+                let load = Load::unknown(member.slots);
+                Some(load.completion(charged) + UNHEARD.as_micros() as f64)
+            }
         }
     }
 
--- a/lib/src/process/neighbours.rs
+++ b/lib/src/process/neighbours.rs
@@ -43,12 +43,15 @@
 pub struct Neighbours {
     by_link: HashMap<SocketAddr, Neighbour>,
     suspects: HashMap<SocketAddr, Moment>,
+    // Flows placed at agents of which nothing was heard.
+    unheard: HashMap<SocketAddr, u32>,
 }
 
 impl Neighbours {
     /// Takes in what an agent says of itself; returns whether its run is new.
     pub fn heard(&mut self, link: SocketAddr, neighbour: Neighbour) -> bool {
         self.suspects.remove(&link);
+        self.unheard.remove(&link);
         let run = neighbour.run;
         let old = self.by_link.insert(link, neighbour);
         old.is_none_or(|o| o.run != run)
@@ -82,11 +85,17 @@
 
     /// Takes in that a flow was placed at an agent.
     pub fn charge(&mut self, link: SocketAddr) {
-        if let Some(neighbour) = self.by_link.get_mut(&link) {
-            neighbour.charged += 1;
+        match self.by_link.get_mut(&link) {
+            Some(neighbour) => neighbour.charged += 1,
+            None => *self.unheard.entry(link).or_insert(0) += 1,
         }
     }
 
+    /// Returns the flows placed at an agent of which nothing was heard.
+    pub fn charged_unheard(&self, link: SocketAddr) -> u32 {
+        self.unheard.get(&link).copied().unwrap_or(0)
+    }
+
     /// Returns what an agent said of itself.
     pub fn get(&self, link: SocketAddr) -> Option<&Neighbour> {
         self.by_link.get(&link)
@@ -103,6 +112,7 @@
     pub fn expire(&mut self, now: Moment) {
         self.by_link.retain(|_, n| now.since(n.heard) < OUT_OF_REACH);
         self.suspects.retain(|_, until| *until > now);
+        self.unheard.clear();
     }
 }
 
