--- /dev/null
+++ b/daemon/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings of both front ends.
+
+use std::time::Duration;
+
+use lagoonhollow_daemon::process::configuration::Configuration;
+use lagoonhollow_daemon::process::packet::settings::Role;
+use lagoonhollow_testutils::property::holds;
+
+const AGENT: &str = "[process]\nfront = packets\nrole = agent\nname = a\ndomain = d\n\
+    drain_ms = 300\n[address]\nlink = 10.0.0.1:7720\nadmin = 10.0.0.1:8167\n\
+    callers = 10.0.0.1:8172\noutbound = 10.0.0.1:8162\n[backend]\naddress = 10.0.0.1:8165\n\
+    service = s\nreuse_seconds = 2\nheartbeat_ms = 1200\n[fleet]\nstore = http://10.0.0.9:8169\n\
+    peers = 10.0.0.2:8166,10.0.0.3:8166\n";
+
+#[test]
+fn an_agent_of_the_packet_front_end_is_read() {
+    let Ok(Configuration::Packets(settings)) = Configuration::parse("f", AGENT) else {
+        panic!("not read as packets");
+    };
+    let Role::Agent(role) = &settings.role else { panic!("no agent") };
+    assert_eq!(role.reuse, Duration::from_secs(2));
+    assert_eq!(role.lapse, Duration::from_millis(4_100));
+    assert_eq!(settings.peers.len(), 2);
+    assert!(!settings.first_start);
+}
+
+#[test]
+fn every_finding_is_reported_with_its_line() {
+    let text = AGENT
+        .replace("drain_ms = 300", "drain_ms = soon")
+        .replace("outbound = 10.0.0.1:8162\n", "")
+        .replace("reuse_seconds = 2", "reuse_seconds = -1")
+        .replace("[fleet]", "[fleet]\nkey = 1");
+    let findings = Configuration::parse("f", &text).unwrap_err().to_string();
+    for wanted in ["f:6: [process] drain_ms", "[address] outbound", "reuse_seconds", "[fleet] key"]
+    {
+        assert!(findings.contains(wanted), "{wanted} in\n{findings}");
+    }
+}
+
+#[test]
+fn an_unknown_front_end_is_a_finding() {
+    let text = AGENT.replace("front = packets", "front = smoke");
+    let findings = Configuration::parse("f", &text).unwrap_err().to_string();
+    assert!(findings.contains("f:2: [process] front"), "{findings}");
+}
+
+#[test]
+fn no_bytes_break_the_reader() {
+    fn property(bytes: Vec<u8>) -> bool {
+        let text = String::from_utf8_lossy(&bytes);
+        Configuration::parse("f", &text).is_err()
+    }
+    holds(property as fn(Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/lib/tests/packet_load.rs
@@ -0,0 +1,305 @@
+//! How work is placed and waits when load is at its worst.
+
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use lagoonhollow_lib::connection::flow::FlowKey;
+use lagoonhollow_lib::connection::flow::Protocol;
+use lagoonhollow_lib::request::pace::Load;
+use lagoonhollow_lib::request::pace::Pace;
+use lagoonhollow_lib::request::waiting::Waiting;
+use lagoonhollow_lib::request::waiting::WaitingRequests;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_testutils::packets::caller::End;
+use lagoonhollow_testutils::packets::caller::Plan;
+use lagoonhollow_testutils::packets::world::World;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const AIM: Duration = Duration::from_millis(150);
+const TIMEOUT: Duration = Duration::from_secs(1);
+const SLOTS: usize = 4;
+const SECOND: Duration = Duration::from_secs(1);
+/// Credit of an answer that is late.
+const LATE: f64 = 0.3;
+
+fn flow(n: usize) -> FlowKey {
+    let caller = ([100, 64, (n / 250) as u8, (n % 250) as u8], 1_000).into();
+    FlowKey { protocol: Protocol::Tcp, caller, service: ([198, 18, 0, 1], 443).into() }
+}
+
+/// Work of a request: 60 ms on a cold, slow backend server, some far longer.
+fn work(rng: &mut Pcg64Mcg) -> Duration {
+    let tail = if rng.random_bool(0.03) { 7.0 } else { 1.0 };
+    Duration::from_millis(60).mul_f64(rng.random_range(0.5..1.5) * tail)
+}
+
+/// Arrivals after a failure: `backlog` callers at once, then others at a steady
+/// rate below what the slots can do.
+fn arrivals(seed: u64, backlog: usize) -> Vec<(Moment, Duration)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let start = Moment::from_millis(1_000);
+    let mut list: Vec<_> = (0..backlog)
+        .map(|_| (start + Duration::from_millis(rng.random_range(0..100)), work(&mut rng)))
+        .collect();
+    for _ in 0..150 {
+        list.push((start + Duration::from_millis(rng.random_range(100..4_100)), work(&mut rng)));
+    }
+    list.sort();
+    list
+}
+
+/// Serves arrivals with four slots and a queue; returns the credit earned.
+fn credit(arrivals: &[(Moment, Duration)], mut queue: impl Queue) -> f64 {
+    let mut free = BinaryHeap::new();
+    let mut credit = 0.0;
+    let mut next = 0;
+    let mut now = Moment::default();
+    let mut busy = 0;
+    while next < arrivals.len() || queue.count() > 0 || busy > 0 {
+        let arrival = arrivals.get(next).map(|a| a.0);
+        let end = free.peek().map(|std::cmp::Reverse(at)| *at);
+        now = match (arrival, end) {
+            (Some(a), Some(e)) if a <= e => a,
+            (Some(a), None) => a,
+            (_, Some(e)) => e,
+            (None, None) => now + Duration::from_millis(10),
+        };
+        while free.peek().is_some_and(|std::cmp::Reverse(at)| *at <= now) {
+            free.pop();
+            busy -= 1;
+        }
+        while next < arrivals.len() && arrivals[next].0 <= now {
+            queue.push(next, arrivals[next].0);
+            next += 1;
+        }
+        while busy < SLOTS {
+            let Some(i) = queue.pop(now) else { break };
+            let (arrived, work) = arrivals[i];
+            let done = now + work;
+            free.push(std::cmp::Reverse(done));
+            busy += 1;
+            credit += match done.since(arrived) {
+                t if t <= AIM => 1.0,
+                t if t <= TIMEOUT => LATE,
+                _ => 0.0,
+            };
+        }
+    }
+    credit
+}
+
+trait Queue {
+    fn push(&mut self, i: usize, at: Moment);
+    fn pop(&mut self, now: Moment) -> Option<usize>;
+    fn count(&self) -> usize;
+}
+
+/// First come, first served, as in a backend server; gives up after the timeout.
+#[derive(Default)]
+struct Fifo(VecDeque<(usize, Moment)>);
+
+impl Queue for Fifo {
+    fn push(&mut self, i: usize, at: Moment) {
+        self.0.push_back((i, at));
+    }
+
+    fn pop(&mut self, now: Moment) -> Option<usize> {
+        loop {
+            let (i, at) = self.0.pop_front()?;
+            if now.since(at) < TIMEOUT {
+                return Some(i);
+            }
+        }
+    }
+
+    fn count(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// The agent's queue.
+#[derive(Default)]
+struct Ours(WaitingRequests, Vec<FlowKey>);
+
+impl Queue for Ours {
+    fn push(&mut self, i: usize, at: Moment) {
+        let waiting =
+            Waiting { packets: Vec::new(), priority: 1, aim: at + AIM, end: at + TIMEOUT };
+        self.1.push(flow(i));
+        assert!(self.0.start(flow(i), waiting));
+    }
+
+    fn pop(&mut self, now: Moment) -> Option<usize> {
+        self.0.expire(now);
+        let (next, _) = self.0.next(Duration::from_millis(60), now)?;
+        self.1.iter().position(|f| *f == next)
+    }
+
+    fn count(&self) -> usize {
+        self.0.count()
+    }
+}
+
+#[test]
+fn callers_that_all_come_back_at_once_make_few_others_late() {
+    let (mut ours, mut fifo, mut owed) = (0.0, 0.0, 0.0);
+    for seed in 0..50 {
+        let arrivals = arrivals(seed, 60);
+        ours += credit(&arrivals, Ours::default());
+        fifo += credit(&arrivals, Fifo::default());
+        owed += arrivals.len() as f64;
+    }
+    println!("credit of {owed}: ours {ours:.0}, first come first served {fifo:.0}");
+    assert!(ours >= fifo * 1.05, "{ours} against {fifo}");
+}
+
+#[test]
+fn a_queue_that_nobody_is_late_in_serves_by_time_left() {
+    for seed in 0..50 {
+        let arrivals = arrivals(seed, 4);
+        let (ours, fifo) = (credit(&arrivals, Ours::default()), credit(&arrivals, Fifo::default()));
+        assert!(ours >= fifo * 0.98, "seed {seed}: {ours} against {fifo}");
+    }
+}
+
+#[test]
+fn a_request_with_a_higher_priority_goes_first_while_both_are_in_time() {
+    let mut queue = WaitingRequests::default();
+    let now = Moment::from_millis(1_000);
+    for (i, priority) in [2, 1, 2].into_iter().enumerate() {
+        let waiting = Waiting { packets: Vec::new(), priority, aim: now + AIM, end: now + TIMEOUT };
+        queue.start(flow(i), waiting);
+    }
+    assert_eq!(queue.next(Duration::from_millis(30), now).map(|(f, _)| f), Some(flow(1)));
+}
+
+#[test]
+fn a_request_that_is_late_goes_after_one_that_is_not() {
+    let mut queue = WaitingRequests::default();
+    let now = Moment::from_millis(1_000);
+    let late = Waiting { packets: Vec::new(), priority: 0, aim: now, end: now + TIMEOUT };
+    queue.start(flow(0), late.clone());
+    queue.start(flow(1), Waiting { priority: 9, aim: now + AIM, ..late });
+    assert_eq!(queue.next(Duration::from_millis(30), now).map(|(f, _)| f), Some(flow(1)));
+}
+
+/// Serves a steady load on backend servers of different speeds; returns the
+/// share of requests in time. `choose` gets what is known of each.
+fn share_in_time(seed: u64, choose: impl Fn(&[Load], &[u32], &mut Pcg64Mcg) -> usize) -> f64 {
+    const SPEEDS: [f64; 7] = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7];
+    const USUAL: f64 = 30.0;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let start = Moment::from_millis(1_000);
+    let mut paces = [Pace::open(start); 7];
+    let mut slots: Vec<BinaryHeap<_>> = (0..7).map(|_| BinaryHeap::new()).collect();
+    let mut ends: BinaryHeap<std::cmp::Reverse<(Moment, usize, Moment)>> = BinaryHeap::new();
+    let mut told = [Load::unknown(SLOTS as u32); 7];
+    let mut charged = [0; 7];
+    let (mut in_time, mut count, mut now) = (0, 0, start);
+    // 85% of what all slots can do; 3% of the requests need 7 times as long.
+    let mean = USUAL * (1.0 + 0.03 * 6.0);
+    let gap = mean / (SPEEDS.iter().sum::<f64>() * SLOTS as f64) / 0.85;
+    let mut beat = start;
+    while count < 4_000 {
+        now = now + Duration::from_secs_f64(-rng.random::<f64>().ln() * gap / 1e3);
+        while let Some(std::cmp::Reverse((end, i, began))) = ends.peek().copied()
+            && end <= now
+        {
+            ends.pop();
+            paces[i].end(end.since(began), SLOTS as u32, end);
+        }
+        // Loads are told every 150 ms.
+        if now.since(beat) >= Duration::from_millis(150) {
+            beat = now;
+            for i in 0..7 {
+                told[i] = paces[i].load(SLOTS as u32, 0, 0, now);
+                charged[i] = 0;
+            }
+        }
+        let i = choose(&told, &charged, &mut rng);
+        charged[i] += 1;
+        let tail = if rng.random_bool(0.03) { 7.0 } else { 1.0 };
+        let work = USUAL * rng.random_range(0.5..1.5) * tail / SPEEDS[i];
+        if slots[i].len() < SLOTS {
+            slots[i].push(std::cmp::Reverse(now));
+        }
+        let std::cmp::Reverse(free) = slots[i].pop().unwrap_or(std::cmp::Reverse(now));
+        let end = free.max(now) + Duration::from_secs_f64(work / 1e3);
+        slots[i].push(std::cmp::Reverse(end));
+        paces[i].begin(now);
+        ends.push(std::cmp::Reverse((end, i, now)));
+        in_time += u32::from(end.since(now) <= AIM);
+        count += 1;
+    }
+    f64::from(in_time) / f64::from(count)
+}
+
+#[test]
+fn placement_by_expected_completion_beats_uniform_choice_and_fewest_requests() {
+    let (mut ours, mut uniform, mut fewest) = (0.0, 0.0, 0.0);
+    for seed in 0..20 {
+        ours += share_in_time(seed, |told, charged, rng| {
+            let cost = |i: usize| told[i].completion(charged[i]);
+            let noise: Vec<f64> = (0..7).map(|_| rng.random_range(1.0..1.05)).collect();
+            (0..7).min_by(|a, b| (cost(*a) * noise[*a]).total_cmp(&(cost(*b) * noise[*b]))).unwrap()
+        }) / 20.0;
+        uniform += share_in_time(seed, |_, _, rng| rng.random_range(0..7)) / 20.0;
+        fewest += share_in_time(seed, |told, charged, _| {
+            (0..7).min_by_key(|i| u32::from(told[*i].busy) + charged[*i]).unwrap()
+        }) / 20.0;
+    }
+    println!("in time: ours {ours:.3}, uniform {uniform:.3}, fewest requests {fewest:.3}");
+    assert!(ours > uniform && ours > fewest, "{ours} {uniform} {fewest}");
+}
+
+#[test]
+fn a_request_that_its_caller_gave_up_while_it_waited_holds_no_slot() {
+    for seed in 0..10 {
+        let mut world = World::open(seed, 2, &[("alarm", 2)]);
+        world.run(SECOND * 2);
+        let long = Plan {
+            requests: 1,
+            pause: Duration::ZERO,
+            work: Duration::from_millis(900),
+            deadline: Duration::from_millis(300),
+        };
+        for i in 0..60 {
+            world.call(0, long, Duration::from_millis(5 * i));
+        }
+        world.run(SECOND * 20);
+        let short = Plan { work: Duration::from_millis(20), deadline: SECOND, ..long };
+        for i in 0..100 {
+            world.call(0, short, Duration::from_millis(20 * i));
+        }
+        world.run(SECOND * 5);
+        assert_eq!(world.ended(End::Done), 100, "seed {seed}");
+        let slowest = world.calls.values().filter_map(|c| c.took.first()).max().unwrap();
+        assert!(*slowest < Duration::from_millis(200), "seed {seed}: {slowest:?}");
+    }
+}
+
+#[test]
+fn what_is_open_on_a_backend_server_that_turned_slow_draws_no_more_flows_to_it() {
+    for seed in 0..10 {
+        let mut world = World::open(seed, 2, &[("alarm", 5)]);
+        world.run(SECOND * 2);
+        world.backends[0].slowness = 5.0;
+        let plan = Plan {
+            requests: 1,
+            pause: Duration::ZERO,
+            work: Duration::from_millis(30),
+            deadline: SECOND,
+        };
+        for i in 0..1_000 {
+            world.call(0, plan, Duration::from_millis(4 * i));
+        }
+        world.run(SECOND * 8);
+        let slow = world.backends[0].begun;
+        let mean = world.backends.iter().map(|b| b.begun).sum::<u64>() / 5;
+        assert!(slow * 2 < mean, "seed {seed}: {slow} of a mean of {mean}");
+        assert_eq!(world.ended(End::Done), 1_000, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/lib/tests/registry.rs
@@ -0,0 +1,107 @@
+//! What is believed of backend servers whose entries lapse, return or are late.
+
+use std::time::Duration;
+
+use lagoonhollow_lib::process::registry::Change;
+use lagoonhollow_lib::process::registry::Entry;
+use lagoonhollow_lib::process::registry::Listing;
+use lagoonhollow_lib::process::registry::RETURN_GRACE;
+use lagoonhollow_lib::process::registry::Registry;
+use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::member::Member;
+use lagoonhollow_lib::version::member::Standing;
+
+const NOW: Moment = Moment(1_000_000_000);
+
+fn entry(name: &str, service: &str, born: u64, revision: u64) -> Entry {
+    let member = Member {
+        name: name.into(),
+        service: service.into(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        domain: "d".into(),
+        slots: 4,
+        standing: Standing::Ready,
+        warming: Duration::ZERO,
+        born,
+    };
+    Entry { member, revision }
+}
+
+fn removed(name: &str, revision: u64) -> Change {
+    Change::Removed { name: name.into(), revision }
+}
+
+fn names(registry: &Registry) -> Vec<String> {
+    registry.roster().members().iter().map(|m| m.name.to_string()).collect()
+}
+
+#[test]
+fn an_entry_removed_by_a_store_that_works_is_gone_at_once() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 1, 5))], NOW);
+    registry.change(vec![removed("a", 6)], NOW);
+    assert!(names(&registry).is_empty());
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_stays_until_the_grace_is_over() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 1, 5))], NOW);
+    registry.failed();
+    let back = NOW + Duration::from_secs(30);
+    registry.answered(back);
+    registry.replace(Listing { revision: 9, entries: Vec::new() }, back);
+    assert_eq!(names(&registry), ["a"]);
+    assert!(!registry.expire(back + RETURN_GRACE - Duration::from_millis(1)));
+    assert!(registry.expire(back + RETURN_GRACE));
+    assert!(names(&registry).is_empty());
+}
+
+#[test]
+fn nothing_is_given_up_while_the_store_is_away() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 1, 5))], NOW);
+    registry.failed();
+    registry.change(vec![removed("a", 6)], NOW);
+    assert!(!registry.expire(NOW + Duration::from_secs(3_600)));
+    assert_eq!(names(&registry), ["a"]);
+}
+
+#[test]
+fn older_news_of_a_peer_undoes_nothing() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 2, 8))], NOW);
+    assert!(!registry.change(vec![Change::Set(entry("a", "old", 1, 5))], NOW));
+    assert!(!registry.change(vec![removed("a", 7)], NOW));
+    registry.change(vec![removed("a", 9)], NOW);
+    assert!(!registry.change(vec![Change::Set(entry("a", "s", 2, 8))], NOW));
+    assert!(names(&registry).is_empty());
+}
+
+#[test]
+fn an_address_belongs_to_the_run_that_was_born_last() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    let changes = [entry("new", "s2", 20, 6), entry("old", "s1", 10, 5)].map(Change::Set);
+    registry.change(changes.into(), NOW);
+    assert_eq!(names(&registry), ["new"]);
+    assert!(registry.roster().crew(&"s1".into()).is_none());
+}
+
+#[test]
+fn processes_that_know_as_much_have_the_same_revision() {
+    let mut one = Registry::default();
+    let mut two = Registry::default();
+    one.answered(NOW);
+    two.answered(NOW);
+    one.change(vec![Change::Set(entry("a", "s", 1, 5))], NOW);
+    two.replace(one.listing(), NOW);
+    assert_eq!(one.revision(), two.revision());
+    one.change(vec![removed("a", 7)], NOW);
+    two.replace(Listing { revision: 7, entries: Vec::new() }, NOW);
+    assert_eq!((one.revision(), two.revision()), (7, 7));
+}
