Run the packet front end as separate processes against a stand-in of the store

Cause: /status and a planned stop after it hung: the status took the state's lock twice in one expression. Found by the first of these tests. Ruled out: the stand-in (requests by hand hung as well). Change: the state is read once. testutils gains the store (pages, watches, lost history, 503, silence, slowness, unreadable items), packets with their keyed sum and live callers and backend servers; daemon/tests/packets.rs has 7 tests.

--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -64,7 +64,7 @@
 
     /// Returns whether the process takes packets.
     pub fn is_ready(&self) -> bool {
-        let state = *self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let state = self.state();
         let view = self.knowledge.view();
         state == Serving::NAME && view.routes.version() > 0 && !view.roster.members().is_empty()
     }
@@ -118,18 +118,23 @@
             ("members", number(self.metrics.members.get())),
         ];
         let reasons = self.metrics.reasons();
+        let (state, ready) = (self.state(), self.is_ready());
         Status {
             name: self.settings.name.to_string(),
             role: role.to_owned(),
             domain: self.settings.domain.to_string(),
-            state: (*self.state.lock().unwrap_or_else(|e| e.into_inner())).to_owned(),
+            state: state.to_owned(),
             version: self.knowledge.known().routes,
-            ready: self.is_ready(),
+            ready,
             held: held.map(|(name, n)| (name.to_owned(), n)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
         }
     }
 
+    fn state(&self) -> &'static str {
+        *self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn show_ready(&self) {
         self.metrics.ready.set(self.is_ready().into());
     }
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -1,15 +1,12 @@
 //! A small fleet of separate processes.
 
-use std::io::Read;
-use std::io::Write;
+pub mod daemon;
+
 use std::net::SocketAddr;
-use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
+use daemon::Daemon;
 use lagoonhollow_daemon::process::status::Explanation;
 use lagoonhollow_daemon::process::status::Status;
 use lagoonhollow_testutils::backend::Backend;
@@ -20,18 +17,16 @@
 use lagoonhollow_testutils::hosts;
 use lagoonhollow_testutils::platform::Platform;
 use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 
 /// Time that a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Request lifetime of the service, and so the abstention of its witnesses.
 const LIFETIME: Duration = Duration::from_secs(4);
 
-/// A running process that is killed at the end of its test.
+/// A running process of the fleet.
 pub struct Process {
     pub host: Host,
-    child: Child,
+    daemon: Daemon,
 }
 
 /// A platform, a fabric, entries, agents and backend servers.
@@ -46,45 +41,33 @@
 
 impl Process {
     pub fn spawn(host: Host, settings: &str) -> Self {
-        let path = settings_file(&host, settings);
-        let child = Command::new(env!("CARGO_BIN_EXE_lagoonhollowd"))
-            .arg("--settings")
-            .arg(&path)
-            .spawn()
-            .expect("the daemon starts");
-        Self { host, child }
+        let daemon = Daemon::spawn(&host.name, host.admin(), settings);
+        println!("{} logs to {}", host.name, daemon.log.display());
+        Self { host, daemon }
     }
 
     pub fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+        self.daemon.signal(signal);
     }
 
     pub fn status(&self) -> Option<Status> {
-        serde_json::from_str(&get(self.host.admin(), "/status")?).ok()
+        self.daemon.read("/status")
     }
 
     pub fn explain(&self, caller: SocketAddr, service: SocketAddr) -> Option<Explanation> {
-        let path = format!("/explain?caller={caller}&service={service}");
-        serde_json::from_str(&get(self.host.admin(), &path)?).ok()
+        self.daemon.read(&format!("/explain?caller={caller}&service={service}"))
     }
 
     pub fn metrics(&self) -> Option<String> {
-        get(self.host.admin(), "/metrics")
+        self.daemon.get("/metrics")
     }
 
     pub fn held(&self, name: &str) -> Option<u64> {
         self.status()?.held.get(name).copied()
     }
 
-    pub fn wait(mut self) -> Option<i32> {
-        self.child.wait().expect("the process can be waited for").code()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    pub fn wait(self) -> Option<i32> {
+        self.daemon.wait()
     }
 }
 
@@ -175,20 +158,3 @@
     };
     Backend::spawn(host.backend(), options).expect("the backend server starts")
 }
-
-pub fn settings_file(host: &Host, settings: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let path = folder.join(format!("{}-{}.ini", host.name, host.ip));
-    std::fs::write(&path, settings).expect("the settings file can be written");
-    path
-}
-
-fn get(address: SocketAddr, path: &str) -> Option<String> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n").ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (_, body) = text.split_once("\r\n\r\n")?;
-    Some(body.to_owned())
-}
--- /dev/null
+++ b/daemon/tests/packets.rs
@@ -0,0 +1,229 @@
+//! The packet front end as separate processes, against the stand-in of the store.
+
+#[path = "common/daemon.rs"]
+mod daemon;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use daemon::Daemon;
+use lagoonhollow_daemon::process::status::Explanation;
+use lagoonhollow_daemon::process::status::Status;
+use lagoonhollow_testutils::packets::caller::End;
+use lagoonhollow_testutils::packets::caller::Plan;
+use lagoonhollow_testutils::packets::live::LiveBackend;
+use lagoonhollow_testutils::packets::live::call;
+use lagoonhollow_testutils::packets::site::Site;
+use lagoonhollow_testutils::packets::store::Store;
+use lagoonhollow_testutils::packets::store::Trouble;
+use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
+
+/// Time that a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One request that has long to wait, since the machine may be busy.
+const REPORT: Plan = Plan {
+    requests: 1,
+    pause: Duration::ZERO,
+    work: Duration::from_millis(5),
+    deadline: Duration::from_secs(20),
+};
+
+/// A flow that stays open for some seconds.
+const CHANNEL: Plan = Plan { requests: 20, pause: Duration::from_millis(200), ..REPORT };
+
+struct Fleet {
+    site: Site,
+    store: Store,
+    entries: Vec<Daemon>,
+    agents: Vec<Daemon>,
+    backends: Vec<Option<LiveBackend>>,
+    ports: u16,
+}
+
+impl Fleet {
+    async fn open(number: u8, entries: u8, agents: u8) -> Self {
+        let site = Site(number);
+        let store = Store::bind(site.store());
+        store.put("op/config", &site.routes(1));
+        store.put("servers/i-bad", b"{\"service\": 3}");
+        let backends = Vec::new();
+        let mut fleet =
+            Self { site, store, entries: vec![], agents: vec![], backends, ports: 1_024 };
+        for i in 0..agents {
+            let member = site.member(i, 1);
+            fleet.store.put(&format!("servers/{}", member.name), &site.entry_of(&member));
+            let backend = LiveBackend::bind(member, site.outbound(i), u64::from(i)).await;
+            fleet.backends.push(Some(backend.unwrap()));
+            fleet.agents.push(fleet.agent(i));
+        }
+        for i in 0..entries {
+            fleet.entries.push(fleet.entry(i));
+        }
+        let all = |f: &Self| f.entries.iter().chain(&f.agents).all(ready);
+        fleet.wait_until(all).await;
+        fleet
+    }
+
+    fn agent(&self, i: u8) -> Daemon {
+        let settings = self.site.agent_settings(i);
+        Daemon::spawn(&format!("agent-{i}"), self.site.agent_admin(i), &settings)
+    }
+
+    fn entry(&self, i: u8) -> Daemon {
+        let settings = self.site.entry_settings(i);
+        Daemon::spawn(&format!("entry-{i}"), self.site.entry_admin(i), &settings)
+    }
+
+    /// Starts `count` calls at once, each from an address of its own.
+    fn calls(&mut self, count: u8, plan: Plan) -> Vec<JoinHandle<End>> {
+        let entries: Vec<_> = (0..self.entries.len()).map(|i| self.site.entry(i as u8)).collect();
+        let site = self.site;
+        self.ports += 1;
+        let port = self.ports;
+        let spawn = |i| {
+            let entries = entries.clone();
+            tokio::spawn(async move {
+                let flow = site.flow(i, port);
+                call(site.caller(i), &entries, flow, plan).await.expect("a true packet").0
+            })
+        };
+        (0..count).map(spawn).collect()
+    }
+
+    /// Returns the flows that backend servers hold.
+    fn flows(&self) -> usize {
+        self.backends.iter().flatten().map(LiveBackend::flows).sum()
+    }
+
+    async fn wait_until(&self, holds: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !holds(self) {
+            assert!(start.elapsed() < PATIENCE, "the condition does not come true");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn ready(daemon: &Daemon) -> bool {
+    daemon.read::<Status>("/status").is_some_and(|s| s.ready)
+}
+
+fn log(daemon: &Daemon) -> String {
+    std::fs::read_to_string(&daemon.log).expect("the log can be read")
+}
+
+async fn ends(calls: Vec<JoinHandle<End>>) -> Vec<End> {
+    let mut ends = Vec::new();
+    for call in calls {
+        ends.push(call.await.expect("a call that ends"));
+    }
+    ends
+}
+
+#[tokio::test]
+async fn callers_are_served_and_a_flow_is_explained() {
+    let mut fleet = Fleet::open(21, 2, 3).await;
+    assert_eq!(ends(fleet.calls(20, REPORT)).await, [End::Done; 20]);
+    let channel = fleet.calls(1, CHANNEL);
+    let flow = fleet.site.flow(0, fleet.ports);
+    let path = format!("/explain?caller={}&service={}", flow.caller, flow.service);
+    let known = |d: &Daemon| d.read::<Explanation>(&path).is_some_and(|e| e.owner.is_some());
+    fleet.wait_until(|f| f.entries.iter().any(known)).await;
+    assert_eq!(ends(channel).await, [End::Done]);
+    let metrics = fleet.agents[0].get("/metrics").unwrap();
+    assert!(metrics.contains("lagoonhollow_store_calls_total"), "{metrics}");
+}
+
+#[tokio::test]
+async fn flows_survive_a_killed_agent_and_a_killed_entry() {
+    let mut fleet = Fleet::open(22, 2, 3).await;
+    let channels = fleet.calls(12, CHANNEL);
+    fleet.wait_until(|f| f.flows() == 12).await;
+    fleet.agents[1].signal(Signal::SIGKILL);
+    fleet.agents[1] = fleet.agent(1);
+    fleet.entries[0].signal(Signal::SIGKILL);
+    fleet.entries[0] = fleet.entry(0);
+    assert_eq!(ends(channels).await, [End::Done; 12]);
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_request_and_ends_with_exit_code_0() {
+    let mut fleet = Fleet::open(23, 2, 3).await;
+    let channels = fleet.calls(12, CHANNEL);
+    fleet.wait_until(|f| f.flows() == 12).await;
+    fleet.agents[2].signal(Signal::SIGTERM);
+    let new = fleet.agents.remove(2);
+    assert_eq!(new.wait(), Some(0));
+    fleet.agents.push(fleet.agent(2));
+    assert_eq!(ends(channels).await, [End::Done; 12]);
+    fleet.entries[1].signal(Signal::SIGTERM);
+    assert!(!fleet.entries[1].get("/ready").is_some_and(|_| ready(&fleet.entries[1])));
+    assert_eq!(fleet.entries.remove(1).wait(), Some(0));
+}
+
+#[tokio::test]
+async fn callers_are_served_while_the_store_misbehaves() {
+    let mut fleet = Fleet::open(24, 2, 3).await;
+    for trouble in [Trouble::Status(503), Trouble::Silent, Trouble::Slow(PATIENCE)] {
+        fleet.store.trouble(trouble);
+        assert_eq!(ends(fleet.calls(10, REPORT)).await, [End::Done; 10], "{trouble:?}");
+    }
+    // A process that starts meanwhile learns from others.
+    fleet.entries.push(fleet.entry(2));
+    fleet.wait_until(|f| f.entries.iter().all(ready)).await;
+    fleet.store.trouble(Trouble::None);
+    fleet.store.compact();
+    fleet.store.put("op/config", &fleet.site.routes(5));
+    let later = |d: &Daemon| d.read::<Status>("/status").is_some_and(|s| s.version == 5);
+    fleet.wait_until(|f| f.entries.iter().chain(&f.agents).all(later)).await;
+    assert_eq!(ends(fleet.calls(10, REPORT)).await, [End::Done; 10]);
+}
+
+#[tokio::test]
+async fn a_crashed_backend_server_is_left_out_and_its_flows_end_at_once() {
+    let mut fleet = Fleet::open(25, 2, 3).await;
+    let channels = fleet.calls(12, CHANNEL);
+    fleet.wait_until(|f| f.flows() == 12).await;
+    let flows = |i: &usize| fleet.backends[*i].as_ref().map_or(0, LiveBackend::flows);
+    let most = (0..3).max_by_key(flows).unwrap();
+    let lost = fleet.backends[most].take().unwrap();
+    let held = lost.flows();
+    lost.crash();
+    let ended = ends(channels).await;
+    assert_eq!(ended.iter().filter(|e| **e == End::Reset).count(), held, "{ended:?}");
+    assert_eq!(ends(fleet.calls(12, REPORT)).await, [End::Done; 12]);
+    // The log leads from a flow that was reset to the cause.
+    let log = log(&fleet.agents[most]);
+    assert!(log.contains("event=backend_dead"), "{log}");
+    assert!(log.lines().any(|l| l.contains("event=reset") && l.contains("reason=not_here")));
+}
+
+#[tokio::test]
+async fn a_call_to_a_service_that_is_leaving_is_refused_and_logged() {
+    let mut fleet = Fleet::open(26, 1, 2).await;
+    for i in 0..2 {
+        let mut member = fleet.site.member(i, 1);
+        member.standing = lagoonhollow_lib::version::member::Standing::Leaving;
+        let entry = fleet.site.entry_of(&member);
+        fleet.store.put(&format!("servers/{}", member.name), &entry);
+    }
+    let registered = |d: &Daemon| log(d).contains("reason=leaving");
+    fleet.wait_until(|f| f.agents.iter().all(registered)).await;
+    assert_eq!(ends(fleet.calls(1, REPORT)).await, [End::Refused]);
+    let caller = format!("caller={}", fleet.site.flow(0, fleet.ports).caller);
+    let refused = |d: &Daemon| {
+        let log = log(d);
+        log.lines().any(|l| l.contains("event=refused") && l.contains(&caller))
+    };
+    assert!(fleet.agents.iter().any(refused));
+}
+
+#[tokio::test]
+async fn a_signal_to_reload_applies_the_level_and_keeps_the_process() {
+    let fleet = Fleet::open(27, 1, 1).await;
+    fleet.entries[0].signal(Signal::SIGHUP);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(ready(&fleet.entries[0]));
+}
--- a/testutils/src/packets/mod.rs
+++ b/testutils/src/packets/mod.rs
@@ -4,5 +4,9 @@
 pub mod backend;
 pub mod caller;
 pub mod checks;
+pub mod live;
 pub mod node;
+pub mod site;
+pub mod store;
+pub mod wire;
 pub mod world;
