Pace watches of backend servers by their number

Change: the pause between two watches grows by 20 ms a backend server, to 1.2 s; a process that is behind waits that long before it reads another one.

--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -31,8 +31,14 @@
 const WATCH_EACH: Duration = Duration::from_millis(300);
 /// Longest time that the store lets a watch wait.
 const MAX_WATCH: Duration = Duration::from_secs(25);
-/// Shortest time between two watches: entries change with their warm-up.
-const PACE: Duration = Duration::from_millis(300);
+/// Shortest time between two watches of backend servers, whose entries change
+/// several times at each start and end.
+const MIN_PACE: Duration = Duration::from_millis(300);
+/// Time that each registered backend server adds to it, since changes come more
+/// often the more there are.
+const PACE_EACH: Duration = Duration::from_millis(20);
+/// Longest time between two watches; the shortest bound on a change is 3 s.
+const MAX_PACE: Duration = Duration::from_millis(1_200);
 /// First pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed reads.
@@ -103,7 +109,7 @@
                 revision = Some(at);
                 shared.regained("members", &mut pause.failing);
                 pause.reset();
-                sleep(PACE).await;
+                sleep(pace(&shared)).await;
             }
             Err(StoreError::HistoryGone) => revision = None,
             Err(error) => {
@@ -165,6 +171,12 @@
     }
 }
 
+/// Returns the time between two watches of backend servers.
+fn pace(shared: &Shared) -> Duration {
+    let members = shared.knowledge.view().roster.members().len() as u32;
+    (MIN_PACE + PACE_EACH * members).min(MAX_PACE)
+}
+
 /// Returns how long the next watch waits.
 fn draw_wait(shared: &Shared) -> Duration {
     let members = shared.knowledge.view().roster.members().len() as u32;
@@ -185,7 +197,8 @@
 
 /// Catches up with a process that knows more, unless the store tells it first.
 pub async fn catch_up(client: &Client, peer: SocketAddr, known: Known, shared: &Shared) {
-    sleep(HEAD_START).await;
+    let routes_only = known.roster <= shared.knowledge.known().roster;
+    sleep(if routes_only { HEAD_START } else { HEAD_START + pace(shared) }).await;
     let mine = shared.knowledge.known();
     if known.routes > mine.routes || known.roster > mine.roster {
         shared.lagging.notify_waiters();
