Keep the store's keys in the stand-in of the store

Cause: daemon/tests/packets.rs named two keys of the platform, whose names belong to platform/, deploy/ and the stand-in alone. Change: the stand-in publishes routes and registers backend servers.

--- a/daemon/tests/packets.rs
+++ b/daemon/tests/packets.rs
@@ -46,14 +46,14 @@
     async fn open(number: u8, entries: u8, agents: u8) -> Self {
         let site = Site(number);
         let store = Store::bind(site.store());
-        store.put("op/config", &site.routes(1));
-        store.put("servers/i-bad", b"{\"service\": 3}");
+        store.publish(&site.routes(1));
+        store.register("i-bad", b"{\"service\": 3}");
         let backends = Vec::new();
         let mut fleet =
             Self { site, store, entries: vec![], agents: vec![], backends, ports: 1_024 };
         for i in 0..agents {
             let member = site.member(i, 1);
-            fleet.store.put(&format!("servers/{}", member.name), &site.entry_of(&member));
+            fleet.store.register(member.name.as_str(), &site.entry_of(&member));
             let backend = LiveBackend::bind(member, site.outbound(i), u64::from(i)).await;
             fleet.backends.push(Some(backend.unwrap()));
             fleet.agents.push(fleet.agent(i));
@@ -175,7 +175,7 @@
     fleet.wait_until(|f| f.entries.iter().all(ready)).await;
     fleet.store.trouble(Trouble::None);
     fleet.store.compact();
-    fleet.store.put("op/config", &fleet.site.routes(5));
+    fleet.store.publish(&fleet.site.routes(5));
     let later = |d: &Daemon| d.read::<Status>("/status").is_some_and(|s| s.version == 5);
     fleet.wait_until(|f| f.entries.iter().chain(&f.agents).all(later)).await;
     assert_eq!(ends(fleet.calls(10, REPORT)).await, [End::Done; 10]);
@@ -207,7 +207,7 @@
         let mut member = fleet.site.member(i, 1);
         member.standing = lagoonhollow_lib::version::member::Standing::Leaving;
         let entry = fleet.site.entry_of(&member);
-        fleet.store.put(&format!("servers/{}", member.name), &entry);
+        fleet.store.register(member.name.as_str(), &entry);
     }
     let registered = |d: &Daemon| log(d).contains("reason=leaving");
     fleet.wait_until(|f| f.agents.iter().all(registered)).await;
--- a/testutils/src/packets/store.rs
+++ b/testutils/src/packets/store.rs
@@ -120,6 +120,16 @@
         store
     }
 
+    /// Writes the operator's routes.
+    pub fn publish(&self, routes: &[u8]) {
+        self.put("op/config", routes);
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn register(&self, name: &str, entry: &[u8]) {
+        self.put(&format!("servers/{name}"), entry);
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: &[u8]) {
         let mut data = self.lock();
