--- a/daemon/tests/common/daemon.rs
+++ b/daemon/tests/common/daemon.rs
@@ -20,14 +20,16 @@
 pub struct Daemon {
     admin: SocketAddr,
     child: Child,
-    /// The log of this run and of earlier ones under the same name.
+    /// The log of all processes under this name in this run of the tests.
     pub log: PathBuf,
 }
 
 impl Daemon {
     pub fn spawn(name: &str, admin: SocketAddr, settings: &str) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let path = folder.join(format!("{name}-{}.ini", admin.ip()));
+        // Files of earlier runs of the tests must not be taken for this one's.
+        let run = std::process::id();
+        let path = folder.join(format!("{name}-{}-{run}.ini", admin.ip()));
         let log = path.with_extension("log");
         std::fs::write(&path, settings).expect("the settings file can be written");
         let out = File::options().create(true).append(true).open(&log);
