Prove that an agent declines another service's flow; remove dead code

Cause: with the agent's check of the service taken out no test failed, since in the fleet under virtual time the placer's own choice keeps such offers away. Change: one test offers a flow of another service straight to an agent; the four functions are gone. Nothing that runs has changed. After: the new test fails without the check and passes with it.

--- a/daemon/src/process/packet/metrics.rs
+++ b/daemon/src/process/packet/metrics.rs
@@ -1,7 +1,5 @@
 //! Counters, gauges and histograms of a process of the packet front end.
 
-use std::time::Duration;
-
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::value::tally::Tally;
 use prometheus_client::encoding::text::encode;
@@ -135,11 +133,6 @@
         self.reasons.nonzero()
     }
 
-    /// Adds a time to a histogram.
-    pub fn observe(histogram: &Histogram, took: Duration) {
-        histogram.observe(took.as_secs_f64());
-    }
-
     /// Returns all metrics in the text format that scrapers read.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/process/packet/settings.rs
+++ b/daemon/src/process/packet/settings.rs
@@ -1,15 +1,12 @@
 //! Settings of a process of the packet front end, checked as a whole.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use lagoonhollow_lib::value::findings::Findings;
 use lagoonhollow_lib::value::name::Name;
 
-use crate::process::reader;
 use crate::process::reader::Reader;
-use crate::process::reader::SettingsError;
 use crate::process::reader::address_list;
 use crate::process::reader::http_url;
 use crate::process::reader::non_empty;
@@ -102,17 +99,6 @@
 }
 
 impl PacketSettings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the file can't be read, or all findings in it.
-    pub fn open(path: &Path) -> Result<Self, SettingsError> {
-        let text = reader::text(path)?;
-        let file = path.display().to_string();
-        Self::parse(&file, &text).map_err(SettingsError::Findings)
-    }
-
     /// Checks the text of a settings file called `file`.
     ///
     /// # Errors
--- a/daemon/src/process/settings.rs
+++ b/daemon/src/process/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of a daemon, checked as a whole.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -9,9 +8,7 @@
 use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_wire::seal::FleetKey;
 
-use super::reader;
 use super::reader::Reader;
-use super::reader::SettingsError;
 use super::reader::address_list;
 use super::reader::http_url;
 use super::reader::non_empty;
@@ -100,17 +97,6 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the file can't be read, or all findings in it.
-    pub fn open(path: &Path) -> Result<Self, SettingsError> {
-        let text = reader::text(path)?;
-        let file = path.display().to_string();
-        Self::parse(&file, &text).map_err(SettingsError::Findings)
-    }
-
     /// Checks the text of a settings file called `file`.
     ///
     /// # Errors
--- a/lib/src/front/packet/host.rs
+++ b/lib/src/front/packet/host.rs
@@ -104,11 +104,6 @@
         self.member.as_ref().map_or(&desk.me.service, |m| &m.service)
     }
 
-    /// Returns the registered backend server.
-    pub fn member(&self) -> Option<&Arc<Member>> {
-        self.member.as_ref()
-    }
-
     /// Returns the flow table.
     pub fn served(&self) -> &ServedFlows {
         &self.served
--- a/lib/tests/packets.rs
+++ b/lib/tests/packets.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use lagoonhollow_lib::front::packet::event::Decision;
+use lagoonhollow_lib::front::packet::message::Known;
+use lagoonhollow_lib::front::packet::message::Message;
+use lagoonhollow_lib::front::packet::step::Step;
 use lagoonhollow_lib::version::route::Share;
+use lagoonhollow_testutils::packets::caller::Caller;
 use lagoonhollow_testutils::packets::caller::End;
 use lagoonhollow_testutils::packets::caller::Plan;
 use lagoonhollow_testutils::packets::world::World;
@@ -364,3 +368,21 @@
         assert_eq!(world.ended(End::Done), 400, "seed {seed}");
     }
 }
+
+#[test]
+fn an_agent_declines_an_offered_flow_of_another_service() {
+    let mut world = fleet(1, 0);
+    let now = world.now;
+    let caller = Caller::open(world.call(0, REPORT, SECOND), REPORT, now);
+    let (home, entry) = (world.agents[0].link, world.entries[0].link);
+    for (service, taken) in [("firmware", false), ("alarm", true)] {
+        let message = Message::Place { entry, service: service.into() };
+        let agent = world.agents[1].agent().unwrap();
+        agent.take_steps();
+        agent.message(home, Known::default(), message, Some(caller.opening(0)), now);
+        let steps = agent.take_steps();
+        let passed = steps.iter().any(|s| matches!(s, Step::Backend(_)));
+        let declined = |s: &Step| matches!(s, Step::Send { to, message: Message::Declined { .. }, .. } if *to == home);
+        assert_eq!((passed, steps.iter().any(declined)), (taken, !taken), "{service}");
+    }
+}
