--- a/daemon/tests/common/daemon.rs
+++ b/daemon/tests/common/daemon.rs
@@ -5,11 +5,13 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::time::Duration;
+use std::time::Instant;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -20,6 +22,7 @@
 pub struct Daemon {
     admin: SocketAddr,
     child: Child,
+    started: Instant,
     settings: PathBuf,
     /// Log file, shared by all processes that this test run starts with the same
     /// name and admin address.
@@ -43,7 +46,7 @@
             .stdout(Stdio::from(out.expect("the log can be written")))
             .spawn()
             .expect("the daemon starts");
-        Self { admin, child, settings: path, log }
+        Self { admin, child, started: Instant::now(), settings: path, log }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -75,10 +78,16 @@
         std::fs::write(&self.settings, change(&text)).expect("the settings can be written");
     }
 
-    /// Returns the exit code if the process has ended; -1 if a signal ended it.
+    /// Returns the exit code if the process has ended; the negated number of the signal
+    /// if one ended it.
     pub fn exit_code(&mut self) -> Option<i32> {
         let status = self.child.try_wait().expect("the process can be waited for")?;
-        Some(status.code().unwrap_or(-1))
+        status.code().or(status.signal().map(|signal| -signal))
+    }
+
+    /// Returns the time since the process was started.
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
     }
 
     /// Waits until the process ends; returns its exit code, or none if a signal
--- a/daemon/tests/soak/inject.rs
+++ b/daemon/tests/soak/inject.rs
@@ -104,6 +104,7 @@
     if !fleet.borrow_mut().signal(node, Signal::SIGTERM) {
         return;
     }
+    let age = fleet.borrow_mut().vm(node).daemon.as_ref().map(|d| d.age());
     let (run, signals, monitor) = {
         let mut fleet = fleet.borrow_mut();
         let monitor = fleet.monitor.clone();
@@ -125,7 +126,8 @@
         match vm.daemon.as_mut().and_then(|d| d.exit_code()) {
             Some(0) => break,
             Some(code) => {
-                monitor.report(format!("{node:?} ended with exit code {code} after SIGTERM"));
+                let after = format!("after SIGTERM at the age of {age:?}");
+                monitor.report(format!("{node:?} ended with exit code {code} {after}"));
                 break;
             }
             None if undisturbed && start.elapsed() > limit => {
