Open flows by service, not by address, and search for owners in two phases

A VM at a reused address that starts with an outdated roster placed flows of the former holder's service on itself. An opening packet that was delivered to an owner that no longer had the flow was passed on unchecked.

Change: an agent accepts an entry that has the service of its settings, follows an accepted one, or outlasts the heartbeats. A change of an entry that no fresh roster has confirmed resets nothing. A process that starts in a later epoch of the store has the grace period of one that saw it begin. A search first asks all agents, which answer that they own the flow, do not, or can't tell; backend servers are probed only once all have answered, and not while the roster is partial. What agents have ruled out is remembered, so retransmissions ask only the silent ones, and a lost flow is reset as soon as the roster proves that the last silent agent is gone. Probes are logged.

Epoch 0 is asserted as before, a later one must wait.

Mixed releases: an agent of the release before does not answer Unsure, so a home of this release finds an unclaimed flow of such an agent only once its backend server sends.

--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -122,14 +122,16 @@
         let answered =
             state.last_answer > Moment::default() && now < state.next_answer + FRESH_MARGIN;
         let fresh = answered && state.registry.confirms_absence(now);
+        let partial = answered && !fresh;
         let read = state.last_answer;
         let routes = self.view.borrow().routes.clone();
         let changed = std::mem::take(&mut state.changed);
         let roster = changed.then(|| state.registry.roster(routes.published()));
         drop(state);
         self.view.send_if_modified(|view| {
-            let modified = roster.is_some() || fresh != view.fresh || read != view.read_at;
-            (view.fresh, view.read_at) = (fresh, read);
+            let modified = roster.is_some()
+                || (fresh, partial, read) != (view.fresh, view.partial, view.read_at);
+            (view.fresh, view.partial, view.read_at) = (fresh, partial, read);
             if let Some(roster) = roster {
                 view.roster = roster.into();
             }
--- a/lib/benches/speed/packets.rs
+++ b/lib/benches/speed/packets.rs
@@ -145,7 +145,13 @@
     let published = Published { version: 1, idle, routes: vec![route], services: Vec::new() };
     let routes = Routes::open(published).enforce(&Routes::default());
     let roster = Roster::open(1.into(), (0..backends).map(member));
-    View { routes: routes.into(), roster: roster.into(), fresh: true, read_at: START }
+    View {
+        routes: routes.into(),
+        roster: roster.into(),
+        fresh: true,
+        partial: false,
+        read_at: START,
+    }
 }
 
 fn member(i: u16) -> Member {
--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -1,104 +1,189 @@
-//! Searches for the owner of a flow that its home has no record of.
+//! A search for the owner of a flow that its home has no record of.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+
+use derive_more::From;
 
-use super::flow::FlowKey;
 use super::segment::Packet;
+use super::unresolved::Unresolved;
 use crate::value::moment::Moment;
+use crate::value::name::Name;
+use crate::version::roster::Roster;
 
-/// Maximum number of searches in progress.
-const MAX_SEARCHES: usize = 4_096;
-/// Maximum number of packets held during the search for one flow.
+/// Maximum number of packets held during one search.
 const MAX_HELD: usize = 4;
-/// Time after which a search is abandoned; the caller's retransmission starts
-/// another one.
-pub const SEARCH_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// A search in progress.
+/// Whom a search concerns: the agents of some services.
+#[derive(Clone, Debug)]
+pub struct Scope {
+    /// The services.
+    pub services: BTreeSet<Name>,
+    /// The roster that named the agents.
+    pub roster: Arc<Roster>,
+    /// Agents that were asked though the roster does not list them.
+    pub others: BTreeSet<SocketAddr>,
+}
+
+impl Scope {
+    /// Opens a scope of all agents in `agents`.
+    pub fn open(
+        services: BTreeSet<Name>,
+        roster: Arc<Roster>,
+        agents: &BTreeSet<SocketAddr>,
+    ) -> Self {
+        let mut scope = Self { services, roster, others: BTreeSet::new() };
+        scope.others = agents.iter().filter(|l| !scope.covers(l)).copied().collect();
+        scope
+    }
+
+    /// Returns whether the agent at `link` belongs to the scope.
+    pub fn covers(&self, link: &SocketAddr) -> bool {
+        let member = self.roster.on_vm(link.ip());
+        member.is_some_and(|m| self.services.contains(&m.service)) || self.others.contains(link)
+    }
+}
+
+/// A search in progress, in state `S`.
 #[derive(Debug)]
-pub struct Search {
+pub struct Search<S> {
+    /// Whom it concerns.
+    pub scope: Scope,
     /// Entry that the packet came through.
     pub entry: SocketAddr,
     /// The packet that was sent with the search.
     pub packet: Packet,
     /// Packets of the flow that came after it.
     pub held: Vec<Packet>,
+    /// When the search entered the state.
+    pub since: Moment,
+    /// State of the search.
+    pub state: S,
+}
+
+/// All agents that may own the flow are asked whether they do.
+#[derive(Debug, Default)]
+pub struct Asking {
     /// Agents that have not answered.
     pub waiting: BTreeSet<SocketAddr>,
-    /// Whether all agents that can own the flow were asked.
-    pub complete: bool,
-    started: Moment,
+    /// Agents whose backend server may have the flow unknown to them.
+    pub unsure: BTreeSet<SocketAddr>,
 }
 
-/// Searches in progress, by flow.
-#[derive(Debug, Default)]
-pub struct Searches {
-    flows: HashMap<FlowKey, Search>,
+/// All agents have answered, and the backend servers of those that were unsure are probed.
+/// While any agent is out of reach none is probed: the flow may be that agent's.
+#[derive(Debug)]
+pub struct Probing {
+    /// Agents that have not reported the outcome.
+    pub waiting: BTreeSet<SocketAddr>,
+}
+
+/// A search in any state.
+#[derive(Debug, From)]
+pub enum SearchState {
+    /// See [`Asking`].
+    Asking(Search<Asking>),
+    /// See [`Probing`].
+    Probing(Search<Probing>),
 }
 
-impl Search {
-    /// Opens a search among the agents in `waiting`.
+impl<S> Search<S> {
+    /// Holds a packet until the search ends; drops it beyond the limit.
+    fn hold(&mut self, packet: &Packet) {
+        if self.held.len() < MAX_HELD {
+            self.held.push(packet.clone());
+        }
+    }
+}
+
+impl Search<Asking> {
+    /// Opens a search.
     pub fn open(
+        scope: Scope,
         entry: SocketAddr,
         packet: Packet,
-        waiting: BTreeSet<SocketAddr>,
-        complete: bool,
+        state: Asking,
         now: Moment,
     ) -> Self {
-        Self { entry, packet, held: Vec::new(), waiting, complete, started: now }
+        Self { scope, entry, packet, held: Vec::new(), since: now, state }
     }
 
-    /// Returns whether every agent that can own the flow has answered that it does
-    /// not.
-    pub fn proves_absence(&self) -> bool {
-        self.complete && self.waiting.is_empty()
+    /// Begins to probe the backend servers of the unsure agents.
+    pub fn probe(self, now: Moment) -> Search<Probing> {
+        let Self { scope, entry, packet, held, state, .. } = self;
+        let state = Probing { waiting: state.unsure };
+        Search { scope, entry, packet, held, since: now, state }
     }
 }
 
-impl Searches {
-    /// Returns whether another search can be started.
-    pub fn has_room(&self) -> bool {
-        self.flows.len() < MAX_SEARCHES
+impl SearchState {
+    /// Holds a packet until the search ends; drops it beyond the limit.
+    pub fn hold(&mut self, packet: &Packet) {
+        match self {
+            Self::Asking(search) => search.hold(packet),
+            Self::Probing(search) => search.hold(packet),
+        }
     }
 
-    /// Starts a search.
-    pub fn start(&mut self, flow: FlowKey, search: Search) {
-        self.flows.insert(flow, search);
+    /// Records that the agent at `link` does not own the flow.
+    pub fn not_owner(&mut self, link: SocketAddr) {
+        match self {
+            Self::Asking(search) => {
+                search.state.waiting.remove(&link);
+                search.state.unsure.remove(&link);
+            }
+            Self::Probing(search) => {
+                search.state.waiting.remove(&link);
+            }
+        }
     }
 
-    /// Holds a packet until the search for its flow ends; returns false if there is
-    /// no search. A packet beyond the limit is dropped.
-    pub fn hold(&mut self, packet: &Packet) -> bool {
-        let Some(search) = self.flows.get_mut(&packet.segment.flow) else { return false };
-        if search.held.len() < MAX_HELD {
-            search.held.push(packet.clone());
+    /// Records that the agent at `link` can't tell whether its backend server has the flow.
+    pub fn unsure(&mut self, link: SocketAddr) {
+        if let Self::Asking(search) = self
+            && search.state.waiting.remove(&link)
+        {
+            search.state.unsure.insert(link);
         }
-        true
     }
 
-    /// Ends a search and returns it.
-    pub fn end(&mut self, flow: &FlowKey) -> Option<Search> {
-        self.flows.remove(flow)
+    /// Returns when the state was entered.
+    pub fn since(&self) -> Moment {
+        match self {
+            Self::Asking(search) => search.since,
+            Self::Probing(search) => search.since,
+        }
     }
 
-    /// Records that the agent at `link` does not own the flow; returns the search
-    /// if no agent is left to answer.
-    pub fn not_owner(&mut self, flow: &FlowKey, link: SocketAddr) -> Option<Search> {
-        let search = self.flows.get_mut(flow)?;
-        search.waiting.remove(&link);
-        if search.waiting.is_empty() { self.flows.remove(flow) } else { None }
+    /// Returns the entry that the packet came through.
+    pub fn entry(&self) -> SocketAddr {
+        match self {
+            Self::Asking(search) => search.entry,
+            Self::Probing(search) => search.entry,
+        }
     }
 
-    /// Takes out the searches that have timed out.
-    pub fn expire(&mut self, now: Moment) -> Vec<(FlowKey, Search)> {
-        self.flows.extract_if(|_, s| now.since(s.started) >= SEARCH_TIMEOUT).collect()
+    /// Takes the packets that waited for the end of the search.
+    pub fn into_held(self) -> Vec<Packet> {
+        match self {
+            Self::Asking(search) => search.held,
+            Self::Probing(search) => search.held,
+        }
     }
 
-    /// Returns whether no search is in progress.
-    pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
+    /// Ends the search without an owner.
+    pub fn unresolve(self, now: Moment) -> Unresolved {
+        let (scope, packet, held, silent) = match self {
+            Self::Asking(Search { scope, packet, held, state, .. }) => {
+                let silent = state.waiting.into_iter().chain(state.unsure).collect();
+                (scope, packet, held, silent)
+            }
+            Self::Probing(Search { scope, packet, held, state, .. }) => {
+                (scope, packet, held, state.waiting)
+            }
+        };
+        let segment = held.last().unwrap_or(&packet).segment;
+        Unresolved { segment, scope, silent, since: now }
     }
 }
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::action::Action;
@@ -86,6 +87,10 @@
         if before.roster.revision() != self.context.view.roster.revision() {
             self.claim_at_new_homes(&before, now);
         }
+        let after = &self.context.view;
+        if before.fresh != after.fresh || !Arc::ptr_eq(&before.roster, &after.roster) {
+            self.review_absences(now);
+        }
         if !self.hello_sent {
             let service = self.backend.service(&self.context).clone();
             for link in self.context.peers(&service) {
@@ -180,8 +185,9 @@
             }
             self.announce(&segment.flow, served.entry(), served.isn(), now);
             if let Some(search) = self.home.finish_search(&mut self.context, &segment.flow) {
-                for packet in search.held {
-                    self.deliver(search.entry, false, packet, now);
+                let entry = search.entry();
+                for packet in search.into_held() {
+                    self.deliver(entry, false, packet, now);
                 }
             }
         }
@@ -217,12 +223,13 @@
             }
         }
         self.placer.tick(&mut self.context, &mut self.backend, now);
-        self.home.tick(&mut self.context, now);
+        self.home.tick(&mut self.context, &self.backend, &self.placer.neighbours, now);
         if now.since(self.expired_at) >= EXPIRE_INTERVAL {
             self.expired_at = now;
             self.backend.expire(&mut self.context, now);
             self.home.expire(now);
             self.placer.neighbours.expire(now);
+            self.review_absences(now);
         }
         let service = self.backend.service(&self.context).clone();
         let others = self.context.peers(&service).len();
@@ -262,7 +269,14 @@
                 }
             }
             Message::Release { flow } => self.home.release(&flow, from),
-            Message::NotHere { flow } => self.home.not_owner(&mut self.context, &flow, from),
+            Message::NotHere { flow } => {
+                let (context, backend) = (&mut self.context, &mut self.backend);
+                self.home.not_owner(context, backend, &self.placer.neighbours, &flow, from, now);
+            }
+            Message::Unsure { flow } => {
+                let (context, backend) = (&mut self.context, &mut self.backend);
+                self.home.unsure(context, backend, &self.placer.neighbours, &flow, from, now);
+            }
             Message::Declined { flow, silent } => {
                 let (context, backend) = (&mut self.context, &mut self.backend);
                 if silent {
@@ -296,6 +310,9 @@
         let segment = packet.segment;
         let flow = segment.flow;
         self.context.send(entry, Message::Accepted { flow });
+        if segment.attempt == 0 {
+            self.home.forget(&flow);
+        }
         let to_owner = segment.attempt <= COPIES_TO_OWNER;
         if to_owner && self.backend.deliver(&mut self.context, &packet, entry, now).is_ok() {
             return;
@@ -330,7 +347,16 @@
             Ok(()) => self.notify_entry(entry, &flow),
             // A retransmitted opening packet of a flow that was removed here.
             Err(_) if packet.segment.is_opening() => {
-                self.backend.offer(&mut self.context, &packet, entry, None, now);
+                let fits = self.backend.is_routed(&self.context, &flow);
+                if fits && self.backend.accepts_flows(now) {
+                    self.backend.offer(&mut self.context, &packet, entry, None, now);
+                } else {
+                    // The caller's next copy is placed anew by the flow's home.
+                    let reason = if fits { Reason::Leaving } else { Reason::WrongService };
+                    let event = Event::of(Decision::Dropped).reason(reason).flow(flow);
+                    self.context.record(event);
+                    self.context.send(entry, Message::NotOwner { flow });
+                }
             }
             Err(NotServed::Unknown) => {
                 self.backend.probe(&mut self.context, &packet, entry, None, now);
@@ -384,7 +410,7 @@
             Err(NotServed::Unknown) if probe => {
                 self.backend.probe(&mut self.context, &packet, entry, Some(home), now);
             }
-            Err(NotServed::Unknown) => self.context.tally.add(Reason::OwnerUnknown),
+            Err(NotServed::Unknown) => self.context.send(home, Message::Unsure { flow }),
         }
     }
 
@@ -408,7 +434,9 @@
         if let Some(probe) = self.backend.take_probe(&flow) {
             match probe.home {
                 Some(home) if home == self.context.me.link => {
-                    self.home.not_owner(&mut self.context, &flow, home);
+                    let (context, backend) = (&mut self.context, &mut self.backend);
+                    let neighbours = &self.placer.neighbours;
+                    self.home.not_owner(context, backend, neighbours, &flow, home, now);
                 }
                 Some(home) => self.context.send(home, Message::NotHere { flow }),
                 None => {
@@ -438,6 +466,12 @@
         home.locate(&mut self.context, backend, &self.placer.neighbours, entry, packet, now);
     }
 
+    /// Resets the flows that no agent is left to own.
+    fn review_absences(&mut self, now: Moment) {
+        let neighbours = &self.placer.neighbours;
+        self.home.review_absences(&mut self.context, &self.backend, neighbours, now);
+    }
+
     /// Tells an entry that this agent owns the flow.
     fn notify_entry(&mut self, entry: SocketAddr, flow: &FlowKey) {
         let isn = self.backend.served().get(flow).and_then(|s| s.isn());
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -23,6 +23,9 @@
     Reset,
     /// A search for the owner of a flow was started.
     Searched,
+    /// A packet of an unknown flow was passed to the backend server, which returns it if it
+    /// does not have the flow.
+    Probed,
     /// The owner of a flow was found by a search.
     FoundOwner,
     /// A packet was dropped.
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -1,6 +1,7 @@
 //! An agent's role as the home of flows: the directory of their owners, and
 //! searches for owners that it lacks.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,9 +15,13 @@
 use crate::connection::directory::Directory;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Owner;
+use crate::connection::search::Asking;
+use crate::connection::search::Scope;
 use crate::connection::search::Search;
-use crate::connection::search::Searches;
+use crate::connection::search::SearchState;
+use crate::connection::searches::Searches;
 use crate::connection::segment::Packet;
+use crate::connection::unresolved::Unresolved;
 use crate::process::neighbours::Neighbours;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
@@ -87,14 +92,19 @@
         let Some(search) = self.searches.end(&flow) else { return };
         context.record(Event::of(Decision::FoundOwner).flow(flow).peer(owner.link));
         // The owner has delivered the packet that the search carried.
-        for packet in &search.held {
-            forward(context, search.entry, owner, packet);
+        let entry = search.entry();
+        for packet in search.into_held() {
+            forward(context, entry, owner, &packet);
         }
     }
 
     /// Ends the search for a flow that this agent's backend server has; returns
     /// it with the packets that waited and the entry that they came through.
-    pub fn finish_search(&mut self, context: &mut AgentContext, flow: &FlowKey) -> Option<Search> {
+    pub fn finish_search(
+        &mut self,
+        context: &mut AgentContext,
+        flow: &FlowKey,
+    ) -> Option<SearchState> {
         let search = self.searches.end(flow)?;
         context.record(Event::of(Decision::FoundOwner).flow(*flow).peer(context.me.link));
         Some(search)
@@ -105,11 +115,73 @@
         self.directory.release(flow, link);
     }
 
+    /// Forgets what searches for an earlier flow with the same addresses have shown.
+    pub fn forget(&mut self, flow: &FlowKey) {
+        self.searches.end(flow);
+    }
+
     /// Handles the answer of an agent that it does not own a flow.
-    pub fn not_owner(&mut self, context: &mut AgentContext, flow: &FlowKey, link: SocketAddr) {
+    pub fn not_owner(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        flow: &FlowKey,
+        link: SocketAddr,
+        now: Moment,
+    ) {
         self.directory.release(flow, link);
-        if let Some(search) = self.searches.not_owner(flow, link) {
-            conclude_absent(context, &search);
+        if let Some(search) = self.searches.get_mut(flow) {
+            search.not_owner(link);
+            self.proceed(context, backend, neighbours, flow, now);
+        } else if self.searches.rule_out(flow, link) {
+            self.review_absences(context, backend, neighbours, now);
+        }
+    }
+
+    /// Handles the answer of an agent that its backend server may have a flow.
+    pub fn unsure(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        flow: &FlowKey,
+        link: SocketAddr,
+        now: Moment,
+    ) {
+        if let Some(search) = self.searches.get_mut(flow) {
+            search.unsure(link);
+            self.proceed(context, backend, neighbours, flow, now);
+        }
+    }
+
+    /// Resets unresolved flows that no agent is left to own, after a change of the roster:
+    /// a caller that waits for a lost flow learns it at once. Answers the load after a loss
+    /// of many VMs, when every lost flow is searched for and few agents can't answer.
+    pub fn review_absences(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &LocalBackend,
+        neighbours: &Neighbours,
+        now: Moment,
+    ) {
+        if !context.is_settled(now) {
+            return;
+        }
+        let mut agents: BTreeMap<BTreeSet<Name>, BTreeSet<SocketAddr>> = BTreeMap::new();
+        let mut absent = Vec::new();
+        for (flow, unresolved) in self.searches.unresolved() {
+            let services = candidate_services(context, backend, flow);
+            let candidates = agents
+                .entry(services)
+                .or_insert_with_key(|s| candidates(context, backend, neighbours, s, now));
+            let still_silent = unresolved.silent.iter().any(|l| candidates.contains(l));
+            if !still_silent && is_absent(context, backend, unresolved, candidates) {
+                absent.push(*flow);
+            }
+        }
+        for flow in absent {
+            self.searches.end(&flow);
         }
     }
 
@@ -121,14 +193,15 @@
     }
 
     /// Ends searches that have timed out.
-    pub fn tick(&mut self, context: &mut AgentContext, now: Moment) {
+    pub fn tick(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &LocalBackend,
+        neighbours: &Neighbours,
+        now: Moment,
+    ) {
         for (flow, search) in self.searches.expire(now) {
-            let event = Event::of(Decision::Dropped).reason(Reason::OwnerUnknown).flow(flow);
-            let event = event.value(search.waiting.len() as u64);
-            context.record(match search.waiting.first() {
-                Some(silent) => event.peer(*silent),
-                None => event,
-            });
+            self.conclude(context, backend, neighbours, flow, search, now);
         }
     }
 
@@ -137,8 +210,7 @@
         self.directory.expire(RECORD_TTL, now);
     }
 
-    /// Asks all agents that may own the flow of a packet, and probes the backend
-    /// server beside this one if its flow table may be incomplete.
+    /// Asks all agents that may own the flow of a packet and have not ruled it out.
     fn search(
         &mut self,
         context: &mut AgentContext,
@@ -154,34 +226,112 @@
             return;
         }
         let services = candidate_services(context, backend, &flow);
-        let mut waiting = BTreeSet::new();
-        for service in &services {
-            waiting.extend(context.peers(service));
-            waiting.extend(neighbours.reachable(service, now));
-        }
-        waiting.remove(&context.me.link);
-        // An agent that is out of reach may own the flow; then no other backend
-        // server is probed with the packet.
-        let probe = waiting.iter().all(|l| neighbours.get(*l).is_some());
+        let candidates = candidates(context, backend, neighbours, &services, now);
+        let outcome = self.searches.outcome(&packet.segment);
+        let outcome = outcome.filter(|u| u.scope.services == services);
+        let scope = Scope::open(services, context.view.roster.clone(), &candidates);
+        let mut waiting = match outcome {
+            Some(unresolved) => unresolved.remaining(&candidates),
+            None => candidates,
+        };
+        // This agent is a candidate only if it can't tell without a probe.
+        let own = waiting.take(&context.me.link);
         let event = Event::of(Decision::Searched).flow(flow).peer(entry);
         context.record(event.value(waiting.len() as u64));
         for link in &waiting {
-            context.send_packet(*link, Message::Search { entry, probe }, &packet);
+            context.send_packet(*link, Message::Search { entry, probe: false }, &packet);
+        }
+        let asking = Asking { waiting, unsure: own.into_iter().collect() };
+        self.searches.start(flow, Search::open(scope, entry, packet, asking, now));
+        self.proceed(context, backend, neighbours, &flow, now);
+    }
+
+    /// Moves a search on once all agents have answered.
+    fn proceed(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        flow: &FlowKey,
+        now: Moment,
+    ) {
+        let waits = match self.searches.get_mut(flow) {
+            Some(SearchState::Asking(search)) => !search.state.waiting.is_empty(),
+            Some(SearchState::Probing(search)) => !search.state.waiting.is_empty(),
+            None => true,
+        };
+        if waits {
+            return;
         }
-        if !backend.is_complete() {
-            waiting.insert(context.me.link);
-            if probe {
-                backend.probe(context, &packet, entry, Some(context.me.link), now);
+        match self.searches.take(flow) {
+            // Just after the source's return the owner may be missing from the roster.
+            Some(SearchState::Asking(search))
+                if !search.state.unsure.is_empty() && !context.view.partial =>
+            {
+                let search = search.probe(now);
+                let (entry, packet) = (search.entry, search.packet.clone());
+                for link in &search.state.waiting {
+                    if *link == context.me.link {
+                        backend.probe(context, &packet, entry, Some(*link), now);
+                    } else {
+                        context.send_packet(*link, Message::Search { entry, probe: true }, &packet);
+                    }
+                }
+                self.searches.start(*flow, search);
             }
+            Some(search) => self.conclude(context, backend, neighbours, *flow, search, now),
+            None => {}
         }
-        let complete = context.is_settled(now) && !services.is_empty();
-        let search = Search::open(entry, packet, waiting, complete, now);
-        if search.waiting.is_empty() {
-            conclude_absent(context, &search);
-        } else {
-            self.searches.start(flow, search);
+    }
+
+    /// Ends a search that found no owner: resets the flow if that proves that it does not
+    /// exist, and else drops the packet and remembers who has not answered.
+    fn conclude(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &LocalBackend,
+        neighbours: &Neighbours,
+        flow: FlowKey,
+        search: SearchState,
+        now: Moment,
+    ) {
+        let unresolved = search.unresolve(now);
+        let services = candidate_services(context, backend, &flow);
+        let candidates = candidates(context, backend, neighbours, &services, now);
+        let settled = context.is_settled(now);
+        if settled && is_absent(context, backend, &unresolved, &candidates) {
+            self.searches.end(&flow);
+            return;
         }
+        let event = Event::of(Decision::Dropped).reason(Reason::OwnerUnknown).flow(flow);
+        let event = event.value(unresolved.silent.len() as u64);
+        context.record(match unresolved.silent.first() {
+            Some(silent) => event.peer(*silent),
+            None => event,
+        });
+        self.searches.unresolve(flow, unresolved);
+    }
+}
+
+/// Returns the agents that may own a flow of some services. This agent is one of them only
+/// if its table may be incomplete.
+fn candidates(
+    context: &AgentContext,
+    backend: &LocalBackend,
+    neighbours: &Neighbours,
+    services: &BTreeSet<Name>,
+    now: Moment,
+) -> BTreeSet<SocketAddr> {
+    let mut agents = BTreeSet::new();
+    for service in services {
+        agents.extend(context.peers(service));
+        agents.extend(neighbours.reachable(service, now));
     }
+    agents.remove(&context.me.link);
+    if !backend.is_complete() {
+        agents.insert(context.me.link);
+    }
+    agents
 }
 
 /// Returns the services whose backend servers may own a flow.
@@ -208,18 +358,25 @@
     context.send_packet(owner.link, Message::Deliver { entry, direct: true }, packet);
 }
 
-/// Ends a search in which no agent owned the flow: resets the flow if that
-/// proves that it does not exist, and else drops the packet.
-fn conclude_absent(context: &mut AgentContext, search: &Search) {
-    let segment = &search.packet.segment;
-    if !search.proves_absence() {
-        let event = Event::of(Decision::Dropped).reason(Reason::OwnerUnknown);
-        context.record(event.flow(segment.flow));
-        return;
+/// Returns whether the agents that ruled a flow out are all that may own it, and resets it
+/// then.
+fn is_absent(
+    context: &mut AgentContext,
+    backend: &LocalBackend,
+    unresolved: &Unresolved,
+    candidates: &BTreeSet<SocketAddr>,
+) -> bool {
+    let segment = &unresolved.segment;
+    let services = candidate_services(context, backend, &segment.flow);
+    if services.is_empty()
+        || services != unresolved.scope.services
+        || !unresolved.remaining(candidates).is_empty()
+    {
+        return false;
     }
-    if segment.flags.aborts {
-        return;
+    if !segment.flags.aborts {
+        context.record(Event::of(Decision::Reset).reason(Reason::NotHere).flow(segment.flow));
+        context.act(Action::Reset { flow: segment.flow, seq: segment.ack });
     }
-    context.record(Event::of(Decision::Reset).reason(Reason::NotHere).flow(segment.flow));
-    context.act(Action::Reset { flow: segment.flow, seq: segment.ack });
+    true
 }
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -24,6 +24,7 @@
 use crate::process::liveness::DEAD_AFTER;
 use crate::process::liveness::KeepAlive;
 use crate::process::liveness::Liveness;
+use crate::process::own_entry::OwnEntry;
 use crate::request::load_meter::Load;
 use crate::request::load_meter::LoadMeter;
 use crate::request::request_queue::QueuedRequest;
@@ -77,6 +78,7 @@
 #[derive(Debug)]
 pub struct LocalBackend {
     member: Option<Arc<Member>>,
+    own_entry: OwnEntry,
     served: ServedFlows,
     probes: HashMap<FlowKey, Probe>,
     queue: RequestQueue,
@@ -99,6 +101,7 @@
     pub fn open(complete: bool, now: Moment) -> Self {
         Self {
             member: None,
+            own_entry: OwnEntry::default(),
             served: ServedFlows::default(),
             probes: HashMap::new(),
             queue: RequestQueue::default(),
@@ -128,6 +131,13 @@
         ready && !self.leaving && self.liveness.takes_work(now)
     }
 
+    /// Returns whether the routes in force send the flow, if it is new, to the backend
+    /// server's service.
+    pub fn is_routed(&self, context: &AgentContext, flow: &FlowKey) -> bool {
+        let route = context.view.routes.route(flow.service);
+        route.and_then(|r| r.service(flow.hash())) == Some(self.service(context))
+    }
+
     /// Returns whether the backend server has answered the flow's opening packet.
     pub fn has_answered(&self, flow: &FlowKey) -> bool {
         matches!(self.served.get(flow), Some(ServedFlow::Answered(_) | ServedFlow::Established(_)))
@@ -150,8 +160,16 @@
 
     /// Applies the roster's entry of the backend server.
     pub fn update_member(&mut self, context: &mut AgentContext, now: Moment) {
-        let member = context.view.roster.holder(context.me.backend).cloned();
+        let confirmed = self.own_entry.is_confirmed();
+        let (me, view) = (&context.me, &context.view);
+        let listed = view.roster.holder(me.backend);
+        let member = self.own_entry.check(listed, &me.service, view, me.entry_ttl, now);
         match (&self.member, &member) {
+            (Some(old), Some(new)) if !old.same_run(new) && !confirmed => {
+                // The flows may be those of the run that was there all the while; if not,
+                // the backend server returns their packets.
+                self.liveness = Liveness::open(now);
+            }
             (Some(old), Some(new)) if !old.same_run(new) => {
                 // Another run has the address, so the one before it is gone.
                 self.reset_flows(context, now);
@@ -328,7 +346,9 @@
             context.tally.add(Reason::HeldFull);
             return;
         }
-        self.probes.insert(packet.segment.flow, Probe { home, entry, at: now });
+        let flow = packet.segment.flow;
+        self.probes.insert(flow, Probe { home, entry, at: now });
+        context.record(Event::of(Decision::Probed).flow(flow).peer(home.unwrap_or(entry)));
         context.act(Action::Backend(packet.clone()));
     }
 
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -50,8 +50,8 @@
     Search {
         /// Entry that received the packet.
         entry: SocketAddr,
-        /// Whether an agent whose flow table may be incomplete may probe its
-        /// backend server with the packet.
+        /// Whether an agent whose flow table may be incomplete probes its backend server
+        /// with the packet, instead of answering [`Message::Unsure`].
         probe: bool,
     },
     /// A flow that the receiver offered was not accepted.
@@ -120,6 +120,12 @@
         /// The flows.
         flows: Vec<(FlowKey, Option<u32>)>,
     },
+    /// The sender can't tell without a probe whether its backend server has the flow that
+    /// the receiver searches for.
+    Unsure {
+        /// The flow.
+        flow: FlowKey,
+    },
 }
 
 impl Message {
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -191,7 +191,10 @@
             return None;
         }
         if link == context.me.link {
-            return backend.accepts_flows(now).then(|| backend.load(now).completion(0));
+            // The address may be listed under a former holder's service.
+            let fits = *backend.service(context) == member.service;
+            let accepts = fits && backend.accepts_flows(now);
+            return accepts.then(|| backend.load(now).completion(0));
         }
         let suspect = self.neighbours.is_suspect(link, now);
         let penalty = if suspect { SUSPECT_PENALTY.as_micros() as f64 } else { 0.0 };
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod neighbours;
 pub mod notice;
+pub mod own_entry;
 pub mod pause_detector;
 pub mod peers;
 pub mod recovery;
--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -141,14 +141,11 @@
         self.change(changes, now) || restored
     }
 
-    /// Begins an epoch of the source. Unless it is the first that is known, the source
-    /// has lost entries, which backend servers write again as after an outage.
+    /// Begins an epoch of the source, which has lost entries. Backend servers write them
+    /// again as after an outage. A process that has just started can't tell whether the
+    /// source came back a moment ago, so that holds for it too.
     fn begin_epoch(&mut self, epoch: u32, now: Moment) {
-        let first = self.revision == Revision::default();
         self.revision = Revision { epoch, number: 0 };
-        if first {
-            return;
-        }
         self.grace_until = self.grace_until.max(now + RETURN_GRACE);
         for (_, until) in self.lapsed.values_mut() {
             *until = self.grace_until;
--- a/lib/src/process/view.rs
+++ b/lib/src/process/view.rs
@@ -18,6 +18,9 @@
     /// Whether the source of both answers, so that a missing backend server is
     /// known to be gone.
     pub fresh: bool,
+    /// Whether the source has just come back, so that backend servers may be missing that
+    /// are about to register again.
+    pub partial: bool,
     /// When the source last answered.
     pub read_at: Moment,
 }
--- a/lib/src/version/roster.rs
+++ b/lib/src/version/roster.rs
@@ -25,6 +25,7 @@
     members: Vec<Arc<Member>>,
     pools: BTreeMap<Name, Pool>,
     by_address: HashMap<SocketAddr, Arc<Member>>,
+    by_vm: HashMap<IpAddr, Arc<Member>>,
 }
 
 impl Pool {
@@ -64,7 +65,8 @@
             services.entry(member.service.clone()).or_default().push(member.clone());
         }
         let pools = services.into_iter().map(|(name, list)| (name, Pool::open(list))).collect();
-        Self { revision, members, pools, by_address }
+        let by_vm = members.iter().map(|m| (m.address.ip(), m.clone())).collect();
+        Self { revision, members, pools, by_address, by_vm }
     }
 
     /// Returns the revision that the roster was read at.
@@ -89,6 +91,6 @@
 
     /// Returns the member on the VM with address `ip`.
     pub fn on_vm(&self, ip: IpAddr) -> Option<&Arc<Member>> {
-        self.members.iter().find(|m| m.address.ip() == ip)
+        self.by_vm.get(&ip)
     }
 }
--- a/lib/tests/registry.rs
+++ b/lib/tests/registry.rs
@@ -264,11 +264,23 @@
 }
 
 #[test]
-fn the_first_epoch_that_a_process_sees_needs_no_grace_period() {
+fn the_first_epoch_of_a_source_needs_no_grace_period() {
     let mut registry = Registry::default();
     registry.answered(NOW);
-    registry.replace(listing(later(3, 10), &[entry_at("a", 1, later(3, 9))]), NOW);
+    registry.replace(listing(later(0, 10), &[entry_at("a", 1, later(0, 9))]), NOW);
     assert!(registry.confirms_absence(NOW));
+    assert!(matches!(registry.updates_since(later(0, 9)), RegistryUpdate::Changes(_)));
+}
+
+// A process that started just as the source had come back from a copy took the copy for the
+// present (soak seed 193).
+#[test]
+fn a_process_that_starts_in_a_later_epoch_waits_for_entries_to_be_written_again() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.replace(listing(later(3, 10), &[entry_at("a", 1, later(3, 9))]), NOW);
+    assert!(!registry.confirms_absence(NOW));
+    assert!(registry.confirms_absence(NOW + RETURN_GRACE));
     assert!(matches!(registry.updates_since(later(3, 9)), RegistryUpdate::Changes(_)));
 }
 
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -474,7 +474,7 @@
         let read_at = if readable { now } else { node.view.read_at };
         let fresh = readable && node.registry.confirms_absence(now);
         let roster = node.registry.roster(routes.published()).into();
-        let view = View { routes, roster, fresh, read_at };
+        let view = View { routes, roster, fresh, partial: readable && !fresh, read_at };
         node.update_view(view, now);
         self.perform(link);
         self.schedule(READ_INTERVAL.max(read_delay), SimEvent::Read(link));
