Tell a later flow from an earlier one between the same addresses

A caller that used its address and port again within the idle time was taken for its earlier flow: the entry followed its hint, the home its record, and the former owner passed the opening packet on as a packet of the old flow. The backend server's new initial sequence number did not match the table, so the flow's packets were no longer delivered.

Change: an opening packet never follows a hint, a home uses its record only for copies, and an agent keeps the sequence number of the caller's opening packet, which tells a copy from a later flow. The test doubles' callers draw initial sequence numbers as real ones do.

--- a/lib/src/connection/served_flows.rs
+++ b/lib/src/connection/served_flows.rs
@@ -81,6 +81,8 @@
     pub used: Moment,
     /// Time that the caller had waited before its opening packet came.
     pub waited: Duration,
+    /// Sequence number of the caller's opening packet, if this agent saw it.
+    pub caller_isn: Option<u32>,
     /// The state with its data.
     pub state: S,
 }
@@ -98,8 +100,8 @@
 
 impl<S> Flow<S> {
     fn transition<T>(self, state: T, now: Moment) -> Flow<T> {
-        let Self { entry, placer, waited, .. } = self;
-        Flow { entry, placer, used: now, waited, state }
+        let Self { entry, placer, waited, caller_isn, .. } = self;
+        Flow { entry, placer, used: now, waited, caller_isn, state }
     }
 }
 
@@ -107,7 +109,7 @@
     /// Opens a flow whose opening packet is passed to the backend server.
     pub fn open(entry: Option<SocketAddr>, placer: Option<SocketAddr>, now: Moment) -> Self {
         let state = Opening { offered: now };
-        Self { entry, placer, used: now, waited: Duration::ZERO, state }
+        Self { entry, placer, used: now, waited: Duration::ZERO, caller_isn: None, state }
     }
 
     /// Handles the backend server's answer to the opening packet.
@@ -128,7 +130,8 @@
     /// Opens an established flow whose handshake this agent did not see.
     pub fn learn(entry: Option<SocketAddr>, isn: Option<u32>, now: Moment) -> Self {
         let state = Established::open(isn);
-        Self { entry, placer: None, used: now, waited: Duration::ZERO, state }
+        let (waited, caller_isn) = (Duration::ZERO, None);
+        Self { entry, placer: None, used: now, waited, caller_isn, state }
     }
 
     /// Handles a packet of the caller; returns whether it begins a request, which
@@ -201,6 +204,17 @@
         }
     }
 
+    /// Returns whether an opening packet begins a later flow between the same addresses,
+    /// rather than being a copy of the one that opened this flow.
+    pub fn is_followed_by(&self, opening: &Segment) -> bool {
+        let (isn, closed) = match self {
+            Self::Opening(f) => (f.caller_isn, false),
+            Self::Answered(f) => (f.caller_isn, false),
+            Self::Established(f) => (f.caller_isn, f.is_closed()),
+        };
+        opening.is_opening() && isn.map_or(closed, |isn| isn != opening.seq)
+    }
+
     /// Returns whether the flow can be removed.
     fn is_over(&self, idle: Duration, now: Moment) -> bool {
         match self {
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -40,7 +40,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of retransmissions of an opening packet that go to the backend server
 /// which answered the first one. The next one comes when the caller has waited
-/// for 600 ms, and is placed anew.
+/// for 600 ms, and is placed anew. An owner that is known before the first one comes
+/// has an earlier flow between the same addresses.
 const COPIES_TO_OWNER: u8 = 1;
 
 /// The agent beside one backend server.
@@ -317,7 +318,7 @@
         if to_owner && self.backend.deliver(&mut self.context, &packet, entry, now).is_ok() {
             return;
         }
-        if let Some(owner) = self.home.owner(&flow).filter(|_| to_owner) {
+        if let Some(owner) = self.home.owner(&flow).filter(|_| to_owner && segment.attempt > 0) {
             let message = Message::Deliver { entry, direct: true };
             self.context.send_packet(owner.link, message, &packet);
             return;
--- a/lib/src/front/packet/entry.rs
+++ b/lib/src/front/packet/entry.rs
@@ -119,7 +119,8 @@
             return;
         };
         let repeated = segment.is_opening() && segment.attempt > 0;
-        let hint = self.hints.find(&segment, now).filter(|_| !repeated);
+        // What is known belongs to an earlier flow between the same addresses.
+        let hint = if segment.is_opening() { None } else { self.hints.find(&segment, now) };
         if let Some(owner) = hint {
             self.deliver(owner, packet);
             return;
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -211,7 +211,10 @@
         let flow = packet.segment.flow;
         let waited =
             RETRANSMIT_DELAYS.get(usize::from(packet.segment.attempt)).copied().unwrap_or_default();
-        let opening = Flow { waited, ..Flow::<Opening>::open(Some(entry), placer, now) };
+        self.end_followed(context, &packet.segment, now);
+        let caller_isn = Some(packet.segment.seq);
+        let opening = Flow::<Opening>::open(Some(entry), placer, now);
+        let opening = Flow { waited, caller_isn, ..opening };
         if !self.has_answered(&flow) && !self.served.put(flow, opening) {
             context.tally.add(Reason::FlowsFull);
         }
@@ -231,6 +234,7 @@
         now: Moment,
     ) -> Result<(), NotServed> {
         let segment = &packet.segment;
+        self.end_followed(context, segment, now);
         let missing = if self.complete { NotServed::Absent } else { NotServed::Unknown };
         let served = self.served.get_mut(&segment.flow).ok_or(missing)?;
         match served {
@@ -269,6 +273,13 @@
         Ok(())
     }
 
+    /// Ends a flow if a packet opens a later one between the same addresses.
+    fn end_followed(&mut self, context: &mut AgentContext, segment: &Segment, now: Moment) {
+        if self.served.get(&segment.flow).is_some_and(|s| s.is_followed_by(segment)) {
+            self.end(context, &segment.flow, now);
+        }
+    }
+
     /// Cancels the request of a flow that gets no answer.
     fn cancel_request(&mut self, flow: &FlowKey, now: Moment) {
         let Some(ServedFlow::Established(f)) = self.served.get_mut(flow) else { return };
--- a/testutils/src/packets/backend.rs
+++ b/testutils/src/packets/backend.rs
@@ -28,6 +28,7 @@
     pub isn: u32,
     /// Whether the caller has acknowledged it, which opens the flow.
     pub open: bool,
+    caller_isn: u32,
     // Sequence number of the next byte expected from the caller.
     next_seq: u32,
     // Requests received and answered.
@@ -175,10 +176,13 @@
         let fresh = || HeldFlow {
             isn: rng.random_range(0..ISN_RANGE),
             open: false,
+            caller_isn: segment.seq,
             next_seq,
             received: 0,
             answered: 0,
         };
+        // Another initial sequence number opens a later flow between the same addresses.
+        self.held.retain(|flow, h| *flow != segment.flow || h.caller_isn == segment.seq);
         let held = self.held.entry(segment.flow).or_insert_with(fresh);
         let flags = Flags { opens: true, acks: true, ..Flags::default() };
         let reply = Segment { flags, seq: held.isn, ack: next_seq, attempt: 0, ..segment };
--- a/testutils/src/packets/caller.rs
+++ b/testutils/src/packets/caller.rs
@@ -20,8 +20,9 @@
 const RESEND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Length of every request in bytes.
 const REQUEST_LEN: u16 = 900;
-/// Initial sequence number of callers.
-const ISN: u32 = 1_000;
+/// Multiplier that spreads the initial sequence numbers of calls, which follow from the
+/// time of their start.
+const ISN_FACTOR: u32 = 2_654_435_761;
 
 /// What a caller does on its flow.
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +73,7 @@
     pub latencies: Vec<Duration>,
     phase: Phase,
     requested: u32,
+    isn: u32,
     peer_isn: u32,
 }
 
@@ -79,7 +81,9 @@
     /// Creates a call that starts now.
     pub fn open(flow: FlowKey, plan: Plan, now: Moment) -> Self {
         let phase = Phase::Opening { copies: 0 };
-        Self { flow, plan, started: now, latencies: Vec::new(), phase, requested: 0, peer_isn: 0 }
+        let isn = (now.0 as u32).wrapping_mul(ISN_FACTOR);
+        let latencies = Vec::new();
+        Self { flow, plan, started: now, latencies, phase, requested: 0, isn, peer_isn: 0 }
     }
 
     /// Returns how the call ended; none while it is in progress.
@@ -98,7 +102,7 @@
     /// Returns the opening packet; `attempt` counts its copies.
     pub fn opening(&self, attempt: u8) -> Packet {
         let flags = Flags { opens: true, ..Flags::default() };
-        self.packet(flags, ISN, u32::from(attempt), 0, attempt)
+        self.packet(flags, self.isn, u32::from(attempt), 0, attempt)
     }
 
     /// Handles a packet from a backend server, or a reset; returns the packets to send.
@@ -180,7 +184,8 @@
         self.requested += 1;
         self.phase = Phase::Waiting { sent: now, tries: 0 };
         let acks = Flags { acks: true, ..Flags::default() };
-        let ack = opens.then(|| self.packet(acks, ISN + 1, self.expected_seq(), 0, 0));
+        let ack =
+            opens.then(|| self.packet(acks, self.isn.wrapping_add(1), self.expected_seq(), 0, 0));
         ack.into_iter().chain([self.request_packet()]).collect()
     }
 
@@ -192,7 +197,8 @@
 
     // Sequence number after the last byte sent.
     fn next_seq(&self) -> u32 {
-        ISN + 1 + u32::from(REQUEST_LEN) * self.requested
+        let sent = u32::from(REQUEST_LEN) * self.requested;
+        self.isn.wrapping_add(1).wrapping_add(sent)
     }
 
     // Sequence number of the next byte expected from the backend server.
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -328,6 +328,17 @@
         flow
     }
 
+    /// Starts a call after `wait` from the address that an earlier call used.
+    pub fn call_again(&mut self, flow: FlowKey, plan: Plan, wait: Duration) {
+        self.schedule(wait, SimEvent::Begin(flow, plan));
+    }
+
+    /// Makes a backend server send a packet to a caller after `wait`.
+    pub fn send_late(&mut self, backend: usize, segment: Segment, wait: Duration) {
+        let packet = Packet { segment, raw: Arc::new([]) };
+        self.schedule(wait, SimEvent::FromBackend { agent: backend, packet, returned: false });
+    }
+
     /// Runs the simulation for `time`.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
--- a/testutils/src/world.rs
+++ b/testutils/src/world.rs
@@ -61,6 +61,9 @@
     /// Maximum delay; each message takes between 100 µs and this, which reorders
     /// messages.
     pub delay: Duration,
+    /// Time after which a backend server sends a second copy of each answer; none without
+    /// copies.
+    pub late_copies: Option<Duration>,
     /// Pairs of processes of which the first can't reach the second.
     pub cuts: BTreeSet<(Name, Name)>,
 }
@@ -108,6 +111,7 @@
             loss: 0.0,
             duplicate: 0.0,
             delay: Duration::from_millis(2),
+            late_copies: None,
             cuts: BTreeSet::new(),
         };
         let entry = |i| Entry {
--- a/testutils/src/world/calls.rs
+++ b/testutils/src/world/calls.rs
@@ -96,7 +96,9 @@
             Event::Tick { name, run } => self.tick(name, run),
             Event::Done { name, run, id, answer } => {
                 let now = self.now;
-                if let Some(node) = self.nodes.get_mut(&name).filter(|n| n.run == run) {
+                // A backend server outlives its agent, and its answers reach the next run.
+                let late = self.faults.late_copies.is_some();
+                if let Some(node) = self.nodes.get_mut(&name).filter(|n| n.run == run || late) {
                     let actions = node.agent.backend(id, answer, now);
                     self.apply_actions(&name, actions);
                 }
@@ -307,6 +309,10 @@
         }
         let answer = content(&format!("done:{text}"));
         let at = self.now + time;
+        if let Some(wait) = self.faults.late_copies {
+            let answer = answer.clone();
+            self.events.push(at + wait, Event::Done { name: name.clone(), run, id, answer });
+        }
         self.events.push(at, Event::Done { name: name.clone(), run, id, answer });
     }
 }
