Ask for a flow's owner without its packet

Change: the first question has the flow and the acknowledgement number only; who does not answer it, or can't tell once all have answered, gets the packet as before, so agents of the release before are still found on the caller's second packet. The home forwards the packet once the owner answers.

--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -65,6 +65,8 @@
 /// All agents that may own the flow are asked whether they do.
 #[derive(Debug, Default)]
 pub struct Asking {
+    /// Whether the question carried the packet, which an owner has delivered then.
+    pub carried: bool,
     /// Agents that have not answered.
     pub waiting: BTreeSet<SocketAddr>,
     /// Agents whose backend server may have the flow unknown to them.
@@ -167,6 +169,9 @@
     /// Takes the packets that waited for the end of the search.
     pub fn into_held(self) -> Vec<Packet> {
         match self {
+            Self::Asking(search) if !search.state.carried => {
+                [search.packet].into_iter().chain(search.held).collect()
+            }
             Self::Asking(search) => search.held,
             Self::Probing(search) => search.held,
         }
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -274,6 +274,7 @@
                 let (context, backend) = (&mut self.context, &mut self.backend);
                 self.home.not_owner(context, backend, &self.placer.neighbours, &flow, from, now);
             }
+            Message::Ask { flow, ack } => self.handle_ask(from, flow, ack, now),
             Message::Unsure { flow } => {
                 let (context, backend) = (&mut self.context, &mut self.backend);
                 self.home.unsure(context, backend, &self.placer.neighbours, &flow, from, now);
@@ -390,7 +391,20 @@
         self.backend.offer(&mut self.context, &packet, entry, Some(home), now);
     }
 
-    /// Answers a home that searches for a flow's owner.
+    /// Answers a home that asks for a flow's owner.
+    fn handle_ask(&mut self, home: SocketAddr, flow: FlowKey, ack: Option<u32>, now: Moment) {
+        match self.backend.owns(&flow, ack) {
+            Ok(()) => {
+                for claim in self.backend.claims(|f| *f == flow, now) {
+                    self.context.send(home, claim);
+                }
+            }
+            Err(NotServed::Absent) => self.context.send(home, Message::NotHere { flow }),
+            Err(NotServed::Unknown) => self.context.send(home, Message::Unsure { flow }),
+        }
+    }
+
+    /// Answers a home that searches for a flow's owner with its packet.
     fn handle_search(
         &mut self,
         home: SocketAddr,
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -91,7 +91,6 @@
         }
         let Some(search) = self.searches.end(&flow) else { return };
         context.record(Event::of(Decision::FoundOwner).flow(flow).peer(owner.link));
-        // The owner has delivered the packet that the search carried.
         let entry = search.entry();
         for packet in search.into_held() {
             forward(context, entry, owner, &packet);
@@ -230,6 +229,8 @@
         let outcome = self.searches.outcome(&packet.segment);
         let outcome = outcome.filter(|u| u.scope.services == services);
         let scope = Scope::open(services, context.view.roster.clone(), &candidates);
+        // The packet goes only to the few that did not answer a short question.
+        let carried = outcome.is_some();
         let mut waiting = match outcome {
             Some(unresolved) => unresolved.remaining(&candidates),
             None => candidates,
@@ -238,10 +239,15 @@
         let own = waiting.take(&context.me.link);
         let event = Event::of(Decision::Searched).flow(flow).peer(entry);
         context.record(event.value(waiting.len() as u64));
+        let ack = packet.segment.flags.acks.then_some(packet.segment.ack);
         for link in &waiting {
-            context.send_packet(*link, Message::Search { entry, probe: false }, &packet);
+            if carried {
+                context.send_packet(*link, Message::Search { entry, probe: false }, &packet);
+            } else {
+                context.send(*link, Message::Ask { flow, ack });
+            }
         }
-        let asking = Asking { waiting, unsure: own.into_iter().collect() };
+        let asking = Asking { carried, waiting, unsure: own.into_iter().collect() };
         self.searches.start(flow, Search::open(scope, entry, packet, asking, now));
         self.proceed(context, backend, neighbours, &flow, now);
     }
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -12,6 +12,7 @@
 use super::event::Event;
 use super::message::Message;
 use crate::connection::flow::FlowKey;
+use crate::connection::segment::Flags;
 use crate::connection::segment::Packet;
 use crate::connection::segment::Segment;
 use crate::connection::served_flows::Established;
@@ -273,6 +274,29 @@
         Ok(())
     }
 
+    /// Returns whether the backend server has the flow of a caller's packet with
+    /// acknowledgement number `ack`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it does not, or why that is not known.
+    pub fn owns(&self, flow: &FlowKey, ack: Option<u32>) -> Result<(), NotServed> {
+        let flags = Flags { acks: ack.is_some(), ..Flags::default() };
+        let ack = ack.unwrap_or_default();
+        let segment = Segment { flow: *flow, flags, seq: 0, ack, len: 0, attempt: 0 };
+        let owned = match self.served.get(flow) {
+            Some(ServedFlow::Opening(_)) => return Err(NotServed::Unknown),
+            Some(ServedFlow::Answered(f)) => segment.completes_handshake(f.state.isn),
+            Some(ServedFlow::Established(f)) => {
+                let acked = |isn| segment.acked_bytes(isn).is_some();
+                !flags.acks || f.state.isn.is_none_or(acked)
+            }
+            None if !self.complete => return Err(NotServed::Unknown),
+            None => false,
+        };
+        if owned { Ok(()) } else { Err(NotServed::Absent) }
+    }
+
     /// Ends a flow if a packet opens a later one between the same addresses.
     fn end_followed(&mut self, context: &mut AgentContext, segment: &Segment, now: Moment) {
         if self.served.get(&segment.flow).is_some_and(|s| s.is_followed_by(segment)) {
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -46,7 +46,8 @@
         /// The service that the flow is for.
         service: Name,
     },
-    /// A home searches for the owner of an established flow.
+    /// A home searches for the owner of an established flow, among agents that may need the
+    /// packet or have not answered [`Message::Ask`].
     Search {
         /// Entry that received the packet.
         entry: SocketAddr,
@@ -126,6 +127,13 @@
         /// The flow.
         flow: FlowKey,
     },
+    /// A home asks whether the receiver owns an established flow.
+    Ask {
+        /// The flow.
+        flow: FlowKey,
+        /// Acknowledgement number of the caller's packet, if it has one.
+        ack: Option<u32>,
+    },
 }
 
 impl Message {
