Doubt the entry of a former run only after the store went back

Change: that doubt holds only in a later epoch of the store. In the first one an entry is never older than what was read before.

--- a/lib/src/process/own_entry.rs
+++ b/lib/src/process/own_entry.rs
@@ -14,7 +14,7 @@
 pub struct OwnEntry {
     accepted: Option<Arc<Member>>,
     doubted: Option<(Arc<Member>, Moment)>,
-    // Whether a roster that proves absence has listed the accepted entry.
+    // Whether the accepted entry is certainly not one of an older copy of the source.
     confirmed: bool,
 }
 
@@ -42,13 +42,15 @@
             return None;
         }
         self.doubted = None;
-        self.confirmed = view.fresh || (same && self.confirmed);
+        // In the source's first epoch an entry is never older than one that was read before.
+        let first_epoch = view.roster.revision().epoch == 0;
+        self.confirmed = view.fresh || first_epoch || (same && self.confirmed);
         self.accepted = Some(listed.clone());
         Some(listed.clone())
     }
 
-    /// Returns whether the last accepted entry is certain to be the present one. The entry
-    /// that replaces one that is not may belong to the same run of the backend server.
+    /// Returns whether the last accepted entry is certain to have been the present one. The
+    /// entry that replaces one that was not may belong to the same run of the backend server.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed
     }
--- a/lib/tests/searches.rs
+++ b/lib/tests/searches.rs
@@ -134,3 +134,30 @@
         assert_eq!(world.checks.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+// Agents that first knew an outdated roster, from one that had not been restarted, did not
+// take the entry of a new run for one. Their tables never counted as complete, and each
+// search probed all backend servers.
+#[test]
+fn a_new_run_is_known_though_the_store_answers_only_after_it_has_registered() {
+    for seed in 0..SEEDS {
+        let mut world = World::open(seed, ENTRIES, &[("alarm", 6)]);
+        world.run(SECOND * 2);
+        channels(&mut world, 30);
+        world.store_up = false;
+        (0..6).for_each(|i| world.crash(i, true));
+        world.run(Duration::from_millis(10));
+        (1..6).for_each(|i| world.kill_agent(i));
+        (1..6).for_each(|i| world.start_agent(i, false));
+        world.run(SECOND);
+        (0..6).for_each(|i| world.restart_backend(i, None));
+        world.store_up = true;
+        world.run(Duration::from_millis(500));
+        let probes =
+            |w: &World| w.events.iter().filter(|(_, _, e)| e.decision == Decision::Probed).count();
+        let before = probes(&world);
+        world.run(SECOND * 8);
+        assert_eq!(probes(&world), before, "seed {seed}");
+        assert_eq!(world.checks.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
