Let the pause between watches follow the limit for leaving backend servers

Each process pauses for at most 2.4 s between two watches, 0.8 of the strictest limit of any site, while the larger sites allow 5 and 6 s. What a roster proves lasts for the longer pause as well; nothing changes at 3,000.

--- a/daemon/src/process/packet/settings.rs
+++ b/daemon/src/process/packet/settings.rs
@@ -14,7 +14,7 @@
 use crate::process::settings_reader::parse_value;
 
 /// Sections and keys that a settings file may have.
-const KEYS: [(&str, &str); 19] = [
+const KEYS: [(&str, &str); 20] = [
     ("process", "front"),
     ("process", "role"),
     ("process", "name"),
@@ -34,6 +34,7 @@
     ("backend", "heartbeat_ms"),
     ("fleet", "store"),
     ("fleet", "peers"),
+    ("fleet", "drain_limit_ms"),
 ];
 
 /// Missed heartbeats after which the entry of a backend server is removed from
@@ -41,6 +42,8 @@
 const MISSED_HEARTBEATS: u32 = 3;
 /// Time for other processes to read that removal.
 const REMOVAL_SLACK: Duration = Duration::from_millis(500);
+/// Time limit for a leaving backend server to get no new flows, unless set.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// Maximum of a duration in milliseconds.
 const MAX_MS: u64 = 3_600_000;
 
@@ -102,6 +105,9 @@
     pub peers: Vec<SocketAddr>,
     /// Drain time of a planned stop.
     pub drain: Duration,
+    /// Time after its registration as leaving in which a backend server must cease to get
+    /// new flows.
+    pub drain_limit: Duration,
 }
 
 impl PacketSettings {
@@ -134,6 +140,8 @@
     let callers = reader.required("address", "callers", ADDRESS, parse_value);
     let store = reader.required("fleet", "store", "an http:// URL", http_url);
     let peers = reader.optional("fleet", "peers", "IP addresses with ports", address_list);
+    const LIMIT: &str = "milliseconds from 1000 to 3600000";
+    let drain_limit = reader.optional("fleet", "drain_limit_ms", LIMIT, limit_millis);
     Some(PacketSettings {
         role: role?,
         name: name?,
@@ -148,6 +156,7 @@
         store: store?,
         peers: peers.unwrap_or_default(),
         drain: drain?,
+        drain_limit: drain_limit.unwrap_or(DRAIN_LIMIT),
     })
 }
 
@@ -160,6 +169,10 @@
     text.parse().ok().filter(|n| *n <= MAX_MS).map(Duration::from_millis)
 }
 
+fn limit_millis(text: &str) -> Option<Duration> {
+    millis(text).filter(|limit| *limit >= Duration::from_secs(1))
+}
+
 fn role(reader: &mut SettingsReader) -> Option<Role> {
     const ADDRESS: &str = "an IP address and port";
     const SECONDS: &str = "seconds from 0 to 3600";
--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -43,9 +43,10 @@
 /// Increase of that pause per registered backend server, since changes are more
 /// frequent the more there are.
 const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(60);
-/// Longest pause between two watches. The strictest limit for a change to take
-/// effect is 3 s, and processes that read it earlier notify the others.
-const MAX_WATCH_INTERVAL: Duration = Duration::from_millis(2_400);
+/// Longest pause between two watches, as a part of the limit for leaving backend servers,
+/// the strictest for a change of these records. Processes that read it earlier notify the
+/// others.
+const MAX_INTERVAL_PART: f64 = 0.8;
 /// Backoff after the first failed read.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Upper bound of the backoff of a process that is ready.
@@ -138,7 +139,9 @@
                 revision = Some(at);
                 shared.store_recovered("members", &mut backoff.failing);
                 backoff.reset();
-                sleep(watch_interval(&shared)).await;
+                let interval = watch_interval(&shared);
+                shared.knowledge.watch_paused(interval, shared.clock.now());
+                sleep(interval).await;
             }
             Err(StoreError::Compacted | StoreError::Restored) => revision = None,
             Err(error) => {
@@ -246,7 +249,8 @@
 /// Returns the pause between two watches of backend servers.
 fn watch_interval(shared: &Shared) -> Duration {
     let members = shared.knowledge.view().roster.members().len() as u32;
-    (MIN_WATCH_INTERVAL + INTERVAL_PER_MEMBER * members).min(MAX_WATCH_INTERVAL)
+    let longest = shared.settings.drain_limit.mul_f64(MAX_INTERVAL_PART);
+    (MIN_WATCH_INTERVAL + INTERVAL_PER_MEMBER * members).min(longest)
 }
 
 /// Returns the wait of the next watch: at random, half to all of its upper bound.
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -18,9 +18,11 @@
 use super::knowledge_delta::KnowledgeDelta;
 
 /// Time after the end of a watch within which a reachable store has answered
-/// again, including the pause between two watches. Until then, a backend server
-/// that is not listed is known to be gone.
+/// again, including a pause of [`USUAL_PAUSE`] between two watches. Until then, a backend
+/// server that is not listed is known to be gone.
 const FRESH_MARGIN: Duration = Duration::from_secs(3);
+/// Pause between two watches that [`FRESH_MARGIN`] includes.
+const USUAL_PAUSE: Duration = Duration::from_millis(2_400);
 
 /// Knowledge of the process, which only the control thread changes.
 #[derive(Debug)]
@@ -87,6 +89,16 @@
         state.next_answer = now;
     }
 
+    /// Records that the next watch starts only after `interval`.
+    ///
+    /// Has no effect if the previous answer is overdue.
+    pub fn watch_paused(&self, interval: Duration, now: Moment) {
+        let mut state = self.lock();
+        if now < state.next_answer + FRESH_MARGIN {
+            state.next_answer = now + interval.saturating_sub(USUAL_PAUSE);
+        }
+    }
+
     /// Records that a watch has started, which the store may take `wait` to answer.
     ///
     /// Has no effect if the previous answer is overdue.
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -22,6 +22,19 @@
     assert_eq!(role.entry_ttl, Duration::from_millis(4_100));
     assert_eq!(settings.peers.len(), 2);
     assert!(!settings.first_start);
+    assert_eq!(settings.drain_limit, Duration::from_secs(3));
+}
+
+#[test]
+fn the_limit_for_leaving_backend_servers_is_at_least_a_second() {
+    let with =
+        |limit: &str| AGENT.replace("[fleet]", &format!("[fleet]\ndrain_limit_ms = {limit}"));
+    let Ok(Configuration::Packets(settings)) = Configuration::parse("f", &with("6000")) else {
+        panic!("not read as packets");
+    };
+    assert_eq!(settings.drain_limit, Duration::from_secs(6));
+    let findings = Configuration::parse("f", &with("999")).unwrap_err().to_string();
+    assert!(findings.contains("[fleet] drain_limit_ms"), "{findings}");
 }
 
 #[test]
