--- a/daemon/tests/configuration.rs
+++ b/daemon/tests/configuration.rs
@@ -18,13 +18,14 @@
 use lagoonhollow_testutils::fleet::Host;
 use lagoonhollow_testutils::loopback;
 use lagoonhollow_testutils::packets::narrow_link::NarrowLink;
+use lagoonhollow_testutils::packets::odd_entries::long_entry;
+use lagoonhollow_testutils::packets::odd_entries::odd_entries;
 use lagoonhollow_testutils::packets::site::Site;
 use lagoonhollow_testutils::packets::store::Store;
 use lagoonhollow_testutils::packets::store::StoreFault;
 use lagoonhollow_testutils::packets::tcp_proxy::TcpProxy;
 use lagoonhollow_testutils::packets::udp_proxy::UdpProxy;
 use lagoonhollow_testutils::platform::Platform;
-use serde_json::json;
 
 /// Time within which a published version has to be in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(8);
@@ -32,8 +33,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time for processes to read what was written.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
-/// Levels of a value that is nested more deeply than a thread's stack bears.
-const DEPTH: usize = 200_000;
 /// Longest line that a log may have, in bytes.
 const LONGEST_LINE: usize = 2_000;
 /// Number of routes of a configuration that its store still accepts as one value.
@@ -214,42 +213,6 @@
     wait_for_version(&entry, 3, IN_FORCE_WITHIN).await;
 }
 
-/// Registry entries that no backend server wrote.
-fn odd_entries() -> Vec<(String, Vec<u8>)> {
-    let valid = json!({
-        "service": "alarm", "address": "127.45.11.9:8165", "zone": "d-0", "version": "v1",
-        "max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1
-    });
-    let with = |field: &str, value: &str| {
-        let text = valid.to_string();
-        let name = format!("\"{field}\":");
-        let (head, rest) = text.split_once(&name).expect("the field is there");
-        let end = rest.find([',', '}']).expect("the value ends");
-        let key = format!("servers/i-{field}-{}", &value[..value.len().min(8)]);
-        (key, format!("{head}{name}{value}{}", &rest[end..]).into_bytes())
-    };
-    let deep = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
-    let long = format!("\"{}\"", "x".repeat(100_000));
-    let mut entries = vec![
-        with("service", &deep),
-        with("sequence", &deep),
-        with("born", "1e999"),
-        with("born", "18446744073709551616"),
-        with("max_concurrency", "4294967296"),
-        with("max_concurrency", &long),
-        with("warmup_left_ms", "-1"),
-        with("address", "\"127.45.11.9:99999\""),
-        ("servers/i-bytes".to_owned(), vec![0xff, 0x00, 0xfe]),
-        ("servers/i-nested".to_owned(), format!("{{\"extra\":{deep}}}").into_bytes()),
-    ];
-    for key in
-        ["servers/a b", "servers/a&prefix=op/", "servers/a#b", "servers/%zz", "servers/\u{e4}/?"]
-    {
-        entries.push((key.to_owned(), b"{}".to_vec()));
-    }
-    entries
-}
-
 // A key with a character that has a meaning in URLs, last on a page, made the next page
 // unreadable, so that no backend server was known any more.
 #[tokio::test]
@@ -281,8 +244,7 @@
 #[tokio::test]
 async fn a_finding_about_a_long_value_or_key_is_one_short_log_line() {
     let fleet = Fleet::open(46).await;
-    let long = format!("{{\"max_concurrency\":\"{}\"}}", "x".repeat(100_000));
-    fleet.store.put("servers/i-long", long.as_bytes());
+    fleet.store.put("servers/i-long", &long_entry(100_000));
     fleet.store.put("servers/i-\nevent=forged", b"{}");
     let parts = ["event=unreadable_item", "forged"];
     wait_for_line(&fleet.agent, &parts, IN_FORCE_WITHIN).await;
--- a/daemon/tests/packets.rs
+++ b/daemon/tests/packets.rs
@@ -180,6 +180,26 @@
     assert_eq!(fleet.entries.remove(1).wait(), Some(0));
 }
 
+// Requests arrive without a break while an agent and an entry are stopped; some are accepted
+// in the last milliseconds before each end.
+#[tokio::test]
+async fn requests_accepted_up_to_the_end_of_a_planned_stop_are_answered() {
+    let mut fleet = Fleet::open(29, 2, 3).await;
+    let mut calls = Vec::new();
+    for round in 0..120 {
+        calls.extend(fleet.calls(3, REPORT));
+        match round {
+            20 => fleet.agents[0].signal(Signal::SIGTERM),
+            60 => fleet.entries[1].signal(Signal::SIGTERM),
+            _ => {}
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(join_calls(calls).await, [End::Done; 360]);
+    assert_eq!(fleet.agents.remove(0).wait(), Some(0));
+    assert_eq!(fleet.entries.remove(1).wait(), Some(0));
+}
+
 #[tokio::test]
 async fn callers_are_served_while_the_store_misbehaves() {
     let mut fleet = Fleet::open(24, 2, 3).await;
--- a/testutils/src/packets/mod.rs
+++ b/testutils/src/packets/mod.rs
@@ -8,6 +8,7 @@
 pub mod monitor;
 pub mod narrow_link;
 pub mod node;
+pub mod odd_entries;
 pub mod site;
 pub mod store;
 pub mod tcp_proxy;
