Name a function that resets flows after what it does

Found on the last read: is_absent had a predicate's name but resets the flow. Two comments reworded.

--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -43,7 +43,7 @@
 /// Increase of that pause per registered backend server, since changes are more
 /// frequent the more there are.
 const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(60);
-/// Longest pause between two watches, as a part of the limit for leaving backend servers,
+/// Longest pause between two watches, as a fraction of the limit for leaving backend servers,
 /// the strictest for a change of these records. Processes that read it earlier notify the
 /// others.
 const MAX_INTERVAL_PART: f64 = 0.8;
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -175,7 +175,7 @@
                 .entry(services)
                 .or_insert_with_key(|s| candidates(context, backend, neighbours, s, now));
             let still_silent = unresolved.silent.iter().any(|l| candidates.contains(l));
-            if !still_silent && is_absent(context, backend, unresolved, candidates) {
+            if !still_silent && reset_if_absent(context, backend, unresolved, candidates) {
                 absent.push(*flow);
             }
         }
@@ -305,7 +305,7 @@
         let services = candidate_services(context, backend, &flow);
         let candidates = candidates(context, backend, neighbours, &services, now);
         let settled = context.is_settled(now);
-        if settled && is_absent(context, backend, &unresolved, &candidates) {
+        if settled && reset_if_absent(context, backend, &unresolved, &candidates) {
             self.searches.end(&flow);
             return;
         }
@@ -364,9 +364,9 @@
     context.send_packet(owner.link, Message::Deliver { entry, direct: true }, packet);
 }
 
-/// Returns whether the agents that ruled a flow out are all that may own it, and resets it
-/// then.
-fn is_absent(
+/// Resets a flow if the agents that ruled it out are all that may own it; returns whether
+/// they are.
+fn reset_if_absent(
     context: &mut AgentContext,
     backend: &LocalBackend,
     unresolved: &Unresolved,
--- a/lib/tests/address_reuse.rs
+++ b/lib/tests/address_reuse.rs
@@ -125,7 +125,7 @@
 }
 
 // All processes started anew just as the store came back from a copy in which an address
-// had its earlier holder, so nobody remembered the present one (soak seed 193). Its agent
+// had its earlier holder, so no process knew the present one (soak seed 193). Its agent
 // took the present holder's next write for a new run: it reset the flows that had been
 // opened meanwhile, and counted its empty table as complete.
 #[test]
