Use loopback addresses for the routes of the review's cases

Cause: the addresses of a case have to be loopback ones. Those of the routes were not; they occur in packets and in the configuration only, and nothing is sent to them.

--- a/review/standin/late_run.rs
+++ b/review/standin/late_run.rs
@@ -23,7 +23,7 @@
 const FLOWS: u16 = 80;
 
 pub fn run(work: &Path, record: &Record, trouble: &str) -> Verdict {
-    let address = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+    let address = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 1), 443);
     let routes = [Route { name: "r-watch", address, service: "nobet-core".into() }];
     let services = nobet_services();
     let Some(mut scene) = Scene::open(work, record, ENTRIES, &services, &routes) else {
--- a/review/standin/moved_route.rs
+++ b/review/standin/moved_route.rs
@@ -26,8 +26,8 @@
 pub fn run(work: &Path, record: &Record, trouble: &str) -> Verdict {
     let moves = matches!(trouble, "1" | "move");
     let restarts = matches!(trouble, "1" | "restart");
-    let moved = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
-    let other = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+    let moved = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 1), 443);
+    let other = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 2), 443);
     let routes = |service: &str| {
         let route = |name, address, service: &str| Route { name, address, service: service.into() };
         [route("r-moved", moved, service), route("r-other", other, "firm")]
--- a/review/standin/silent_config.rs
+++ b/review/standin/silent_config.rs
@@ -27,7 +27,7 @@
 const ROUNDS: u16 = 8;
 
 pub fn run(work: &Path, record: &Record, trouble: &str) -> Verdict {
-    let address = |i| SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, i), 443);
+    let address = |i| SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, i), 443);
     let route = |name, i| Route { name, address: address(i), service: "nobet-core".into() };
     let first = [route("r-watch", 1), route("r-dropped", 2)];
     let services = nobet_services();
--- a/review/standin/silent_drain.rs
+++ b/review/standin/silent_drain.rs
@@ -25,7 +25,7 @@
 const SLACK: Duration = Duration::from_millis(50);
 
 pub fn run(work: &Path, record: &Record, trouble: &str) -> Verdict {
-    let address = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+    let address = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 1), 443);
     let routes = [Route { name: "r-report", address, service: "nobet-core".into() }];
     let services = nobet_services();
     let Some(scene) = Scene::open(work, record, ENTRIES, &services, &routes) else {
