--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -32,6 +32,9 @@
 /// The ends of a flow: the client's and the route's.
 pub type Key = (SocketAddrV4, SocketAddrV4);
 
+/// Time for which a backend that has started is slow, and how much, as in the site file.
+const WARMUP: Duration = Duration::from_secs(2);
+const SLOW_START: f64 = 1.6;
 /// Retransmissions after which a backend gives up.
 const MAX_TRIES: u32 = 8;
 /// Time for which an ended flow is remembered.
@@ -44,6 +47,8 @@
     // Sequence number of the next byte from the client.
     next: u32,
     input: Vec<u8>,
+    // Packets that were not acknowledged; every second one is.
+    pending: u32,
     client_closed: bool,
     output: Stream,
     ended: Option<Instant>,
@@ -82,6 +87,7 @@
     pub zone: String,
     pub slots: usize,
     pub born: u128,
+    started: Instant,
     outbound: SocketAddrV4,
     // None once the backend has crashed.
     socket: Arc<Mutex<Option<Arc<UdpSocket>>>>,
@@ -118,6 +124,7 @@
             zone: "z".to_owned(),
             slots: 4,
             born: born.map_or(0, |d| d.as_millis()),
+            started: Instant::now(),
             outbound,
             socket: Arc::new(Mutex::new(Some(socket))),
             beats: Arc::default(),
@@ -136,11 +143,12 @@
     pub fn entry(&self) -> String {
         let sequence = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
         let Self { service, address, zone, slots, born, .. } = self;
+        let warmup = WARMUP.saturating_sub(self.started.elapsed()).as_millis();
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"max_concurrency\":{slots},\"state\":\"{state}\",\
-             \"warmup_left_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
+             \"warmup_left_ms\":{warmup},\"sequence\":{sequence},\"born\":{born}}}"
         )
     }
 
@@ -267,7 +275,9 @@
             return;
         }
         flow.output.acked(packet.ack);
-        let mut answers = !packet.data.is_empty() || packet.has(FIN);
+        flow.pending += u32::from(!packet.data.is_empty());
+        let answers = flow.pending >= 2 || packet.has(FIN);
+        flow.pending %= 2;
         if packet.seq == flow.next {
             flow.input.extend(&packet.data);
             flow.next = packet.end();
@@ -281,7 +291,6 @@
         while let Some(job) = parse_request(&key, &mut flow.input) {
             jobs.push(job);
         }
-        answers |= !jobs.is_empty();
         state.queue.extend(jobs);
         drop(state);
         if answers {
@@ -312,7 +321,9 @@
                 job.id, self.id, self.service
             ));
             events.push((self.record.now(), Event::Run(job.flow)));
-            running.push((now + job.work, job));
+            let slow = self.started.elapsed() < WARMUP;
+            let work = if slow { job.work.mul_f64(SLOW_START) } else { job.work };
+            running.push((now + work, job));
         }
         for (key, flow) in flows.iter_mut().filter(|(_, f)| f.open && f.ended.is_none()) {
             let parts = flow.output.take().into_iter().chain(flow.output.retry());
@@ -343,6 +354,7 @@
             open: false,
             next: client_isn.wrapping_add(1),
             input: Vec::new(),
+            pending: 0,
             client_closed: false,
             output: Stream::open(isn.wrapping_add(1)),
             ended: None,
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -54,6 +54,8 @@
     // Sequence number of the next byte from the backend.
     next: u32,
     input: Vec<u8>,
+    // Packets that were not acknowledged; every second one is.
+    pending: u32,
     output: Stream,
     // The node that gets the packets, if the routers don't choose it.
     node: Option<SocketAddrV4>,
@@ -109,6 +111,7 @@
             backend_isn: 0,
             next: 0,
             input: Vec::new(),
+            pending: 0,
             output: Stream::open(isn.wrapping_add(1)),
             node,
             waiting: None,
@@ -211,14 +214,17 @@
             return;
         }
         flow.output.acked(packet.ack);
-        let mut answers = !packet.data.is_empty() || packet.has(FIN);
-        if packet.seq == flow.next && answers {
+        let has_bytes = !packet.data.is_empty() || packet.has(FIN);
+        flow.pending += u32::from(has_bytes);
+        let answers = flow.pending >= 2;
+        flow.pending %= 2;
+        if packet.seq == flow.next && has_bytes {
             flow.input.extend(&packet.data);
             flow.next = packet.end();
             if packet.has(FIN) {
                 flow.output.close();
             }
-            answers = self.take_answer(&key, flow) || answers;
+            self.take_answer(&key, flow);
             if packet.has(FIN) {
                 let (node, seq, ack) = (flow.node, flow.output.next(), flow.next);
                 self.send(&key, node, (ACK, seq, ack), Vec::new());
@@ -233,13 +239,13 @@
     }
 
     /// Takes a whole answer out of the bytes that have arrived.
-    fn take_answer(&self, key: &Key, flow: &mut Flow) -> bool {
-        let Some(end) = flow.input.windows(4).position(|w| w == b"\r\n\r\n") else { return false };
+    fn take_answer(&self, key: &Key, flow: &mut Flow) {
+        let Some(end) = flow.input.windows(4).position(|w| w == b"\r\n\r\n") else { return };
         let head = String::from_utf8_lossy(&flow.input[..end]).into_owned();
         let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
         let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
         if flow.input.len() < end + 4 + length {
-            return false;
+            return;
         }
         flow.input.drain(..end + 4 + length);
         let signature = head.rsplit(": ").next().unwrap_or_default().to_owned();
@@ -253,7 +259,6 @@
                 self.record.line(line);
             }
         }
-        true
     }
 
     fn advance(&self) {
--- a/review/standin/late_run.rs
+++ b/review/standin/late_run.rs
@@ -36,7 +36,7 @@
     let old = scene.backends[0].entry();
     record.line(format!("HEARTBEAT of {} sent, not answered: {old}", scene.backends[0].id));
     thread::sleep(Duration::from_millis(100));
-    if scene.restart_backend(0, DOWN).is_none() {
+    if matches!(trouble, "1" | "crash") && scene.restart_backend(0, DOWN).is_none() {
         return Verdict::NotRun;
     }
     let restarted = record.now();
@@ -54,7 +54,7 @@
     };
     ask(0);
     thread::sleep(LATE.saturating_sub(record.now() - sent));
-    if trouble != "0" {
+    if matches!(trouble, "1" | "late") {
         record.line("TROUBLE the write that was not answered is done");
         scene.write_entry(&scene.backends[0], &old);
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,8 @@
-//! Runs one case of the review: `standin CASE FOLDER`, in the root of the repository.
+//! Runs one case of the review: `standin CASE FOLDER TROUBLE`, in the root of the repository.
 //!
-//! The variable TROUBLE leaves out the disruption if it is 0. The exit code is 1 if the rule
-//! was broken, 0 if it held and 2 if the case could not run.
+//! TROUBLE is 1 for the disruption and 0 for the same without it; other values leave out a part
+//! of it. The exit code is 1 if the rule was broken, 0 if it held and 2 if the case could not
+//! run.
 
 mod backend;
 mod client;
@@ -32,11 +33,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, case, folder, trouble] = &arguments[..] else {
+        eprintln!("usage: standin CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let Ok(record) = Record::open(&Path::new(folder).join("record.txt")) else {
         return ExitCode::from(2);
     };
@@ -44,12 +44,13 @@
     if std::fs::create_dir_all(&work).is_err() {
         return ExitCode::from(2);
     }
+    record.line(format!("CASE {case} with TROUBLE={trouble}"));
     let run = || match case.as_str() {
-        "late-run" => late_run::run(&work, &record, &trouble),
-        "moved-route" => moved_route::run(&work, &record, &trouble),
-        "silent-config" => silent_config::run(&work, &record, &trouble),
-        "silent-drain" => silent_drain::run(&work, &record, &trouble),
-        "unseen-run" => unseen_run::run(&work, &record, &trouble),
+        "late-run" => late_run::run(&work, &record, trouble),
+        "moved-route" => moved_route::run(&work, &record, trouble),
+        "silent-config" => silent_config::run(&work, &record, trouble),
+        "silent-drain" => silent_drain::run(&work, &record, trouble),
+        "unseen-run" => unseen_run::run(&work, &record, trouble),
         _ => Verdict::NotRun,
     };
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
--- a/review/standin/scene.rs
+++ b/review/standin/scene.rs
@@ -29,6 +29,8 @@
 const STABLE: Duration = Duration::from_millis(4_000);
 /// Time between two flows with a report each.
 const REPORT_GAP: Duration = Duration::from_micros(13_600);
+/// Time from the start of the machines to that of the traffic.
+const LEAD: Duration = Duration::from_secs(10);
 /// Time for all nodes to be ready.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -62,6 +64,7 @@
         services: &[&str],
         routes: &[Route],
     ) -> Option<Self> {
+        let begun = record.now();
         let deployment = Deployment::open(work, record)?;
         let store = Store::bind(deployment.store()).ok()?;
         let mut names: Vec<_> = services.iter().map(|s| (*s).to_owned()).collect();
@@ -110,8 +113,8 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
-        // The platform's machines have 10 s before traffic starts.
-        thread::sleep(Duration::from_secs(3));
+        // Traffic starts 10 s after the machines do.
+        thread::sleep(LEAD.saturating_sub(record.now() - begun));
         Some(scene)
     }
 
