--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,12 +1,11 @@
 #!/usr/bin/env bash
-# Runs case 3; the head of review/standin/moved_route.rs tells what happens.
+# Runs case 3; the head of review/standin/silent_config.rs tells what happens.
 # TROUBLE=0 does the same without the disruption and must exit with 0.
-# TROUBLE=move and TROUBLE=restart leave out a part of the planned work.
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE="${TROUBLE:-1}"
 case "$TROUBLE" in
-0 | 1 | move | restart) ;;
+0 | 1) ;;
 *) exit 2 ;;
 esac
 [ -x target/review/standin ] && [ -x target/release/lagoonhollowd ] || exit 2
-exec target/review/standin moved-route review/3 "$TROUBLE"
+exec target/review/standin silent-config review/3 "$TROUBLE"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,7 +8,6 @@
 mod client;
 mod fabric;
 mod late_run;
-mod moved_route;
 mod node;
 mod record;
 mod scene;
@@ -47,7 +46,6 @@
     record.line(format!("CASE {case} with TROUBLE={trouble}"));
     let run = || match case.as_str() {
         "late-run" => late_run::run(&work, &record, trouble),
-        "moved-route" => moved_route::run(&work, &record, trouble),
         "silent-config" => silent_config::run(&work, &record, trouble),
         "silent-drain" => silent_drain::run(&work, &record, trouble),
         "unseen-run" => unseen_run::run(&work, &record, trouble),
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -10,19 +10,15 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::time::Duration;
-use std::time::Instant;
 
 use crate::record::Record;
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 /// Option of `prctl`: a signal for the process when its parent ends.
 const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
@@ -136,7 +132,7 @@
         unsafe { command.pre_exec(ends_with_parent) };
         let child = command.spawn().expect("lagoonhollowd starts");
         self.record.line(format!("START {name}"));
-        Node { name: name.to_owned(), ip, child, record: self.record.clone() }
+        Node { name: name.to_owned(), ip, child }
     }
 }
 
@@ -145,29 +141,6 @@
     pub name: String,
     pub ip: Ipv4Addr,
     child: Child,
-    record: Record,
-}
-
-impl Node {
-    pub fn signal(&self, signal: i32) {
-        self.record.line(format!("SIGNAL {signal} to {}", self.name));
-        // SAFETY: the process is a child that has not been waited for.
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
-    /// Sends SIGTERM, and SIGKILL after `grace`; returns once the process has ended.
-    pub fn stop(mut self, grace: Duration) {
-        self.signal(SIGTERM);
-        let end = Instant::now() + grace;
-        while Instant::now() < end {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                self.record.line(format!("ENDED {}", self.name));
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        self.signal(SIGKILL);
-    }
 }
 
 impl Drop for Node {
--- a/review/standin/scene.rs
+++ b/review/standin/scene.rs
@@ -175,16 +175,6 @@
         self.entries.insert(index, node);
     }
 
-    /// Stops the node beside a backend and starts it again, as a planned restart does.
-    pub fn restart_agent(&mut self, index: usize) {
-        if let Some(node) = self.agents.remove(&index) {
-            node.stop(Duration::from_secs(6));
-            let service = self.backends[index].service.clone();
-            let node = self.deployment.start_agent(index, &service, false);
-            self.agents.insert(index, node);
-        }
-    }
-
     fn agents_are_ready(&self) -> bool {
         self.agents.values().all(|n| fabric::check(self.deployment.ready(n.ip)))
     }
