--- a/review/standin/silent_drain.rs
+++ b/review/standin/silent_drain.rs
@@ -34,10 +34,19 @@
     let Ok(client) = Client::bind(scene.deployment.client(0), &scene.fabric, record) else {
         return Verdict::NotRun;
     };
-    let traffic = send_reports(&client, address, 1_000, record);
-    // The last backend of the other service drains; it has no traffic.
-    let first = &scene.backends[services.len() - 1];
+    let traffic = send_reports(&client, address, 1_150, record);
+    // Two backends of the other service drain one after the other; it has no traffic.
+    let last = services.len() - 1;
     thread::sleep(Duration::from_secs(2));
+    scene.backends[last - 1].drain();
+    scene.register(&scene.backends[last - 1]);
+    record.line(format!("DRAIN of {} acknowledged", scene.backends[last - 1].id));
+    thread::sleep(Duration::from_secs(2));
+    let first = &scene.backends[last];
+    // A change of the configuration comes at the same time: a route without traffic.
+    let unused = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 2), 443);
+    let added = Route { name: "r-unused", address: unused, service: "nobet-core".into() };
+    scene.publish(3, &routes.into_iter().chain([added]).collect::<Vec<_>>());
     first.drain();
     scene.register(first);
     record.line(format!("DRAIN of {} acknowledged", first.id));
--- a/review/standin/unseen_run.rs
+++ b/review/standin/unseen_run.rs
@@ -29,6 +29,10 @@
         return Verdict::NotRun;
     };
     let other = &scene.backends[services.len() - 1];
+    // A change of the configuration comes at the same time: a route without traffic.
+    let unused = SocketAddrV4::new(Ipv4Addr::new(127, 18, 0, 2), 443);
+    let added = Route { name: "r-unused", address: unused, service: "nobet-core".into() };
+    scene.publish(3, &routes.into_iter().chain([added]).collect::<Vec<_>>());
     other.drain();
     scene.register(other);
     record.line(format!("DRAIN of {} acknowledged", other.id));
