Restore the case of DRAIN with watches in phase

Cause: with one backend that drains before the silence, a process that was between two watches opened a connection that works, and the case mostly held.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs case 3; the head of review/standin/silent_config.rs tells what happens.
+# Runs case 3; the head of review/standin/silent_drain.rs tells what happens.
 # TROUBLE=0 does the same without the disruption and must exit with 0.
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE="${TROUBLE:-1}"
@@ -8,4 +8,4 @@
 *) exit 2 ;;
 esac
 [ -x target/review/standin ] && [ -x target/release/lagoonhollowd ] || exit 2
-exec target/review/standin silent-config review/3 "$TROUBLE"
+exec target/review/standin silent-drain review/3 "$TROUBLE"
