Read routes and evacuations under one prefix of the store

Evacuations of failure domains had no reader: the type, the view and the delta between processes had room for them, but nothing decoded the keys.

A process now lists and watches everything that operators write with one watch instead of one on the configuration. A listing gives the whole set at the store's revision, events change it, and the set's revision is that of its last change. A listing that shows no difference keeps the revision, so that processes do not read each other's set again for writes elsewhere. A listing of a new epoch replaces the set. A process is ready once it knows routes, evacuations and a backend server.

--- a/daemon/src/process/packet/control.rs
+++ b/daemon/src/process/packet/control.rs
@@ -57,7 +57,7 @@
     let life = life.recover(clock.now());
     shared.set_state(&life);
     let store = StoreClient::open(&shared.settings.store, follow::CALL_TIMEOUT).await;
-    spawn(follow::follow_routes(store.clone(), shared.clone()));
+    spawn(follow::follow_orders(store.clone(), shared.clone()));
     spawn(follow::follow_members(store, shared.clone()));
     let client = Client::new().await;
     let peers = shared.settings.peers.clone();
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -32,13 +32,13 @@
     pub knowledge: Knowledge,
     /// Clock of the process.
     pub clock: Clock,
-    /// Notified when another process knows later routes than the watch has returned.
-    pub newer_routes: Notify,
+    /// Notified when another process knows later routes or evacuations than the watch has returned.
+    pub newer_orders: Notify,
     /// Notified when another process knows a later roster than the watch has returned.
     pub newer_members: Notify,
-    /// Held while an answer with routes is received, so that a second one does not share
+    /// Held while an answer with operators' orders is received, so that a second one does not share
     /// the link with it.
-    pub routes_transfer: tokio::sync::Mutex<()>,
+    pub orders_transfer: tokio::sync::Mutex<()>,
     /// Held while an answer with backend servers is received.
     pub members_transfer: tokio::sync::Mutex<()>,
     /// Queue to the traffic thread.
@@ -57,15 +57,15 @@
     ) -> Self {
         let knowledge = Knowledge::open();
         let state = Mutex::new(Starting::NAME);
-        let (newer_routes, newer_members) = (Notify::new(), Notify::new());
+        let (newer_orders, newer_members) = (Notify::new(), Notify::new());
         Self {
             settings,
             metrics,
             knowledge,
             clock,
-            newer_routes,
+            newer_orders,
             newer_members,
-            routes_transfer: tokio::sync::Mutex::default(),
+            orders_transfer: tokio::sync::Mutex::default(),
             members_transfer: tokio::sync::Mutex::default(),
             traffic,
             state,
@@ -80,11 +80,13 @@
         spdlog::info!("state", kv: { state, name = self.settings.name.as_str() });
     }
 
-    /// Returns whether the process accepts packets.
+    /// Returns whether the process accepts packets: it knows the routes, the evacuations and
+    /// some backend server.
     pub fn is_ready(&self) -> bool {
         let state = self.state();
         let view = self.knowledge.view();
-        state == Serving::NAME && view.routes.version() > 0 && !view.roster.members().is_empty()
+        let known = view.routes.version() > 0 && view.evacuations.is_known();
+        state == Serving::NAME && known && !view.roster.members().is_empty()
     }
 
     /// Puts routes in force if they are later; `source` is logged.
--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -7,13 +7,14 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use lagoonhollow_lib::front::packet::message::KnownVersions;
+use lagoonhollow_lib::process::registry::Listing;
 use lagoonhollow_lib::value::findings::Findings;
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::revision::Revision;
-use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_platform::error::StoreError;
-use lagoonhollow_platform::member_page::MemberPage;
-use lagoonhollow_platform::member_page::PageStart;
+use lagoonhollow_platform::orders::Orders;
+use lagoonhollow_platform::page::Page;
+use lagoonhollow_platform::page::PageStart;
 use lagoonhollow_platform::store::StoreClient;
 use lagoonhollow_platform::store_read::StoreRead;
 use ntex::client::Client;
@@ -61,67 +62,91 @@
 /// before it is pulled from there.
 const PULL_DELAY: Duration = Duration::from_millis(400);
 
-/// Follows the routes in the store for the life of the process.
-pub async fn follow_routes(store: StoreClient, shared: Arc<Shared>) {
+/// Follows the routes and the evacuations in the store for the life of the process.
+pub async fn follow_orders(store: StoreClient, shared: Arc<Shared>) {
     let mut revision = None;
     let mut backoff = Backoff::open();
     loop {
         shared.metrics.store_calls.inc();
-        let read = match revision {
-            None => read_routes(&store, &shared, &mut backoff.failing).await,
-            Some(at) => watch_routes(&store, &shared, at).await.map(Some),
+        let result = match revision {
+            None => read_orders(&store, &shared, &mut backoff.failing).await,
+            Some(at) => watch_orders(&store, &shared, at).await,
         };
-        match read {
-            Ok(Some(read)) => {
-                revision = Some(read.revision);
-                shared.store_recovered("routes", &mut backoff.failing);
-                shared.record_epoch(read.revision.epoch);
-                shared.metrics.store_bytes.inc_by(read.bytes as u64);
-                log_findings(&shared, &read.findings);
-                if let Some(published) = read.value {
-                    shared.apply_routes(published, "store");
-                }
+        match result {
+            Ok(at) => {
+                revision = Some(at);
+                shared.store_recovered("orders", &mut backoff.failing);
                 backoff.reset();
             }
-            // No routes have been published yet.
-            Ok(None) => backoff.wait(&shared).await,
             Err(StoreError::Compacted | StoreError::Restored) => revision = None,
             Err(error) => {
-                shared.store_failed("routes", &error, &mut backoff.failing);
+                shared.store_failed("orders", &error, &mut backoff.failing);
                 backoff.wait(&shared).await;
             }
         }
     }
 }
 
-async fn read_routes(
+async fn read_orders(
     store: &StoreClient,
     shared: &Shared,
     failing: &mut bool,
-) -> Result<Option<StoreRead<Option<Published>>>, StoreError> {
-    let Some(answer) = hedged("routes", || store.routes(), shared, failing).await? else {
-        return Ok(None);
-    };
-    let _transfer = shared.routes_transfer.lock().await;
-    answer.receive().await.map(|read| Some(read.optional()))
+) -> Result<Revision, StoreError> {
+    let Page { mut read, mut next } =
+        read_orders_page(store, shared, &PageStart::default(), failing).await?;
+    while let Some(start) = next {
+        shared.metrics.store_calls.inc();
+        let page = read_orders_page(store, shared, &start, failing).await?;
+        read.append(page.read);
+        next = page.next;
+    }
+    shared.knowledge.replace_evacuations(read.revision, &read.value.evacuations);
+    Ok(apply_orders(shared, read))
+}
+
+async fn read_orders_page(
+    store: &StoreClient,
+    shared: &Shared,
+    start: &PageStart,
+    failing: &mut bool,
+) -> Result<Page<Orders>, StoreError> {
+    let answer = hedged("orders", || store.orders(start), shared, failing).await?;
+    let _transfer = shared.orders_transfer.lock().await;
+    answer.receive().await
 }
 
-async fn watch_routes(
+async fn watch_orders(
     store: &StoreClient,
     shared: &Shared,
     after: Revision,
-) -> Result<StoreRead<Option<Published>>, StoreError> {
+) -> Result<Revision, StoreError> {
     let wait = random_wait(shared);
     let answer = tokio::select! {
-        answer = store.watch_routes(after, wait) => answer?,
-        // Another process knows later routes, so this watch has gone silent.
-        () = shared.newer_routes.notified() => {
-            shared.watch_abandoned("routes");
+        answer = store.watch_orders(after, wait) => answer?,
+        // Another process knows later orders, so this watch has gone silent.
+        () = shared.newer_orders.notified() => {
+            shared.watch_abandoned("orders");
             return Err(StoreError::Compacted);
         }
     };
-    let _transfer = shared.routes_transfer.lock().await;
-    answer.receive().await
+    let transfer = shared.orders_transfer.lock().await;
+    let read = answer.receive().await?;
+    drop(transfer);
+    shared.knowledge.change_evacuations(&read.value.evacuations);
+    Ok(apply_orders(shared, read))
+}
+
+/// Puts the routes in force that were read with the evacuations; returns the revision from
+/// which the next watch continues.
+fn apply_orders(shared: &Shared, read: StoreRead<Orders>) -> Revision {
+    shared.record_epoch(read.revision.epoch);
+    shared.metrics.store_bytes.inc_by(read.bytes as u64);
+    log_findings(shared, &read.findings);
+    if let Some(published) = read.value.published {
+        shared.apply_routes(published, "store");
+    }
+    shared.publish();
+    read.revision
 }
 
 /// Follows the backend servers in the store for the life of the process.
@@ -158,7 +183,7 @@
     shared: &Shared,
     failing: &mut bool,
 ) -> Result<Revision, StoreError> {
-    let MemberPage { mut read, mut next } =
+    let Page { mut read, mut next } =
         read_page(store, shared, &PageStart::default(), failing).await?;
     while let Some(start) = next {
         shared.metrics.store_calls.inc();
@@ -180,7 +205,7 @@
     shared: &Shared,
     start: &PageStart,
     failing: &mut bool,
-) -> Result<MemberPage, StoreError> {
+) -> Result<Page<Listing>, StoreError> {
     let answer = hedged("members", || store.members(start), shared, failing).await?;
     let _transfer = shared.members_transfer.lock().await;
     answer.receive().await
@@ -264,7 +289,7 @@
 pub async fn pull_from_peers(client: Client, peers: Vec<SocketAddr>, shared: Arc<Shared>) {
     sleep(PULL_DELAY).await;
     for peer in peers {
-        let _routes = shared.routes_transfer.lock().await;
+        let _orders = shared.orders_transfer.lock().await;
         let _members = shared.members_transfer.lock().await;
         let known = shared.knowledge.known();
         if known.routes > 0 {
@@ -279,18 +304,22 @@
 pub async fn catch_up(client: &Client, peer: SocketAddr, known: KnownVersions, shared: &Shared) {
     sleep(PULL_DELAY).await;
     let mut mine = shared.knowledge.known();
-    let routes = shared.routes_transfer.try_lock().ok().filter(|_| known.routes > mine.routes);
+    let later = known.routes > mine.routes || known.evacuations > mine.evacuations;
+    let orders = shared.orders_transfer.try_lock().ok().filter(|_| later);
     let members = shared.members_transfer.try_lock().ok().filter(|_| known.roster > mine.roster);
-    match routes {
-        Some(_) => shared.newer_routes.notify_waiters(),
+    match orders {
+        Some(_) => shared.newer_orders.notify_waiters(),
         // Keeps the peer from sending what is not needed from it.
-        None => mine.routes = mine.routes.max(known.routes),
+        None => {
+            mine.routes = mine.routes.max(known.routes);
+            mine.evacuations = mine.evacuations.max(known.evacuations);
+        }
     }
     match members {
         Some(_) => shared.newer_members.notify_waiters(),
         None => mine.roster = mine.roster.max(known.roster),
     }
-    if routes.is_some() || members.is_some() {
+    if orders.is_some() || members.is_some() {
         pull(client, peer, mine, shared).await;
     }
 }
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -11,7 +11,9 @@
 use lagoonhollow_lib::process::registry::RegistryUpdate;
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::evacuations::EvacuationChange;
 use lagoonhollow_lib::version::evacuations::Evacuations;
+use lagoonhollow_lib::version::revision::Revision;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_lib::version::routes::Routes;
 use tokio::sync::watch;
@@ -76,6 +78,21 @@
         true
     }
 
+    /// Puts the failure domains in force that the store lists as evacuated at `revision`.
+    pub fn replace_evacuations(&self, revision: Revision, listed: &[EvacuationChange]) {
+        let known = self.view.borrow().evacuations.clone();
+        self.apply_evacuations(known.relisted(revision, listed));
+    }
+
+    /// Puts the orders in force that the store reported as given or withdrawn.
+    pub fn change_evacuations(&self, changes: &[EvacuationChange]) {
+        let known = self.view.borrow().evacuations.clone();
+        // Each epoch begins with a listing.
+        if known.is_known() {
+            self.apply_evacuations(known.changed(changes));
+        }
+    }
+
     /// Puts a later set of evacuated failure domains in force; returns whether it is later.
     pub fn apply_evacuations(&self, evacuations: Evacuations) -> bool {
         self.view.send_if_modified(|view| {
--- a/testutils/src/packets/store.rs
+++ b/testutils/src/packets/store.rs
@@ -142,6 +142,16 @@
         self.put("op/config", routes);
     }
 
+    /// Writes the order to evacuate a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        self.put(&format!("op/evacuate/{domain}"), b"");
+    }
+
+    /// Withdraws the order to evacuate a failure domain.
+    pub fn restore_domain(&self, domain: &str) {
+        self.remove(&format!("op/evacuate/{domain}"));
+    }
+
     /// Writes the registry entry of a backend server.
     pub fn register(&self, name: &str, entry: &[u8]) {
         self.put(&format!("servers/{name}"), entry);
