Check a configuration before it is published

Cause: mistakes in a configuration showed only once processes had read it: a route without a service was skipped with a log line, a route that another one hides stayed silent, and nobody saw beforehand which flows a version would end.

Reading the version in force from a running process has no test yet.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -18,6 +18,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
+use crate::check_config;
+use crate::check_config::CheckConfigArguments;
 use crate::command_output::CommandOutput;
 
 // The help of each command shows the doc comment of its arguments type.
@@ -44,6 +46,9 @@
     /// Checks a manifest.
     #[options(help = "check a manifest: a JSON file with \"index\" and \"services\"")]
     CheckManifest(FileArguments),
+    /// Checks a configuration before it is published.
+    #[options(help = "check a configuration before it is published")]
+    CheckConfig(CheckConfigArguments),
     /// Shows the state of a process.
     #[options(help = "show the state of the process with this admin address")]
     Status(StatusArguments),
@@ -106,6 +111,7 @@
         match self {
             Self::CheckSettings(a) => check_settings(&a.file),
             Self::CheckManifest(a) => check_manifest(&a.file),
+            Self::CheckConfig(a) => check_config::run(&a),
             Self::Status(a) => with_address(&a.address, status),
             Self::Explain(a) => with_address(&a.address, |address| explain(address, &a.flow)),
             Self::Version(_) => {
@@ -214,7 +220,12 @@
     }
 }
 
-fn get<T: DeserializeOwned + 'static>(url: &str) -> Result<T, String> {
+/// Reads JSON from a process.
+///
+/// # Errors
+///
+/// Returns what is wrong if there is no answer or it can't be decoded.
+pub fn get<T: DeserializeOwned + 'static>(url: &str) -> Result<T, String> {
     let url = url.to_owned();
     let system = ntex::rt::System::new("lagoonhollow", ntex::rt::DefaultRuntime);
     system.block_on(async move {
--- a/cli/src/command_output.rs
+++ b/cli/src/command_output.rs
@@ -27,6 +27,16 @@
         Self { code: 0, text: text.into(), json }
     }
 
+    /// Returns a result with errors, printed as `text` or as `value` in JSON.
+    pub fn invalid(text: impl Into<String>, value: &impl Serialize) -> Self {
+        Self { code: INVALID, ..Self::success(text, value) }
+    }
+
+    /// Returns a result with warnings where none are allowed.
+    pub fn unwanted(text: impl Into<String>, value: &impl Serialize) -> Self {
+        Self { code: FAILED, ..Self::success(text, value) }
+    }
+
     /// Returns the findings of a check.
     pub fn findings(findings: &Findings) -> Self {
         let json = json!({ "findings": findings });
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! Command-line tool for operators. It checks files and shows the state of processes,
 //! and changes neither.
 
+mod check_config;
 mod command;
 mod command_output;
 
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -89,3 +89,99 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(text(&output.stderr).contains("is not a flow"));
 }
+
+/// Returns a configuration with routes and services as JSON texts.
+fn configuration(version: u64, routes: &[&str], services: &[&str]) -> String {
+    let (routes, services) = (routes.join(","), services.join(","));
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],
+            "limits":{{"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+/// Returns a route with a latency target of 200 ms and a timeout of 1 s.
+fn route(name: &str, host: &str, target: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","host":"{host}","prefix":"/443/","type":"safe","timeout_ms":1000,
+            "target_latency_ms":200,"priority":1,{target}}}"#
+    )
+}
+
+fn check_config(arguments: &[&str]) -> (Option<i32>, String) {
+    let output = run_tool(&[&["check-config"], arguments].concat());
+    (output.status.code(), text(&output.stdout) + &text(&output.stderr))
+}
+
+/// A configuration with several mistakes must not need one run of the tool for each.
+#[test]
+fn all_errors_and_warnings_of_a_configuration_are_reported_together() {
+    let routes = [
+        route("a", "198.18.0.1", r#""service":"s""#),
+        route("b", "198.18.0.1", r#""service":"t""#),
+        route("c", "198.18.0.2", r#""service":"lost""#),
+        route("d", "not-an-address", r#""service":"s""#),
+        route(
+            "e",
+            "198.18.0.3",
+            r#""traffic_split":[{"service":"s","weight":0},{"service":"t","weight":1}]"#,
+        ),
+    ];
+    let routes: Vec<_> = routes.iter().map(String::as_str).collect();
+    let services = [r#"{"name":"s"}"#, r#"{"name":"t"}"#, r#"{"name":"unused"}"#];
+    let path = write_file("mistakes.json", &configuration(7, &routes, &services));
+    let (code, output) = check_config(&[&path, "--longest-flow", "10"]);
+    assert_eq!(code, Some(2), "{output}");
+    for expected in [
+        "error    op/config routes[3]: invalid IPv4 address syntax",
+        "error    route c: service lost is not configured",
+        "warning  route a: never matches: route b has the address 198.18.0.1:443 too",
+        "warning  route e: service s has weight 0 and gets no new flows",
+        "warning  service unused: no route names it, so it gets no flows",
+        "warning  limits: the idle timeout of 15000 ms never applies",
+        "version 7: 4 routes, 3 services, 2 errors, 4 warnings",
+    ] {
+        assert!(output.contains(expected), "{expected} is missing in\n{output}");
+    }
+}
+
+/// A warning must stop a pipeline only if the operator asks for that.
+#[test]
+fn warnings_fail_the_check_of_a_configuration_only_if_it_is_strict() {
+    let a = route("a", "198.18.0.1", r#""service":"s""#);
+    let services = [r#"{"name":"s"}"#, r#"{"name":"unused"}"#];
+    let path = write_file("warned.json", &configuration(7, &[&a], &services));
+    assert_eq!(check_config(&[&path]).0, Some(0));
+    assert_eq!(check_config(&[&path, "--strict"]).0, Some(1));
+}
+
+/// An operator must see before publishing that a dropped route ends its flows.
+#[test]
+fn the_differences_from_the_configuration_in_force_say_what_happens_to_flows() {
+    let (a, b) = (
+        route("a", "198.18.0.1", r#""service":"s""#),
+        route("b", "198.18.0.2", r#""service":"s""#),
+    );
+    let services = [r#"{"name":"s"}"#];
+    let before = write_file("before.json", &configuration(7, &[&a, &b], &services));
+    let after = write_file("after.json", &configuration(9, &[&a], &services));
+    let (code, output) = check_config(&[&after, "--in-force", &before]);
+    assert_eq!(code, Some(0), "{output}");
+    assert!(output.contains("change   version: 7 to 9; open flows stay"), "{output}");
+    let dropped = "change   route b: dropped (198.18.0.2:443); its open flows end";
+    assert!(output.contains(dropped), "{output}");
+    let (_, output) = check_config(&[&before, "--in-force", &after]);
+    assert!(output.contains("every process ignores it"), "{output}");
+}
+
+/// Files that are no configuration must give a short error, not a panic or a wall of text.
+#[test]
+fn random_bytes_and_files_that_are_too_long_give_a_clear_error() {
+    let noise = write_file("noise.json", "\u{1}\u{2}{{{]]");
+    let (code, output) = check_config(&[&noise]);
+    assert_eq!(code, Some(2));
+    assert!(output.contains("is not a configuration") && output.lines().count() == 1, "{output}");
+    let long = write_file("long.json", &" ".repeat(20_000_000));
+    let (code, output) = check_config(&[&long]);
+    assert_eq!(code, Some(2));
+    assert!(output.contains("the store takes at most 1048576"), "{output}");
+}
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -1,6 +1,8 @@
 //! State that lives as long as one version of what operators publish.
 
 pub mod backend;
+pub mod config_check;
+pub mod config_diff;
 pub mod doc;
 pub mod evacuations;
 pub mod index;
