Let registry entries only advance the run of a backend server

An entry that an earlier run wrote and the store applied late replaced that of the present run, as only revisions were compared, and its agent took the earlier run for a new one. Run (name and start) orders the runs of a name; Registry and OwnEntry ignore an entry of an earlier run, in changes, listings and updates of other processes alike.

In a later epoch of the source, an agent that has just started accepts its first entry only once backend servers have had the time to write theirs again.

In the simulated world a connection to a backend server ends with the run that accepted it, and the address of a stopped backend server on a VM whose agent runs refuses packets.

--- a/lib/src/process/own_entry.rs
+++ b/lib/src/process/own_entry.rs
@@ -20,9 +20,15 @@
 
 impl OwnEntry {
     /// Returns `listed`, the entry that the roster has under the agent's address, if it
-    /// belongs to the backend server there: it has the service of the agent's settings,
-    /// it follows an entry that belonged to it, or it outlasts `ttl`, after which entries
-    /// of former holders are removed.
+    /// belongs to the backend server there: it follows an entry that belonged to it, or, as
+    /// the first, has the service of the agent's settings, or it outlasts `ttl`, after which
+    /// entries of former holders are removed. An entry of an earlier run than the accepted
+    /// one belongs to no backend server that runs, unless it outlasts `ttl`: then the clock
+    /// of its VM was set back.
+    ///
+    /// In a later epoch of the source, a process that has just started may read the copy's
+    /// entry of a former holder. The first entry is accepted only when the source has been
+    /// back for long enough that backend servers have written theirs again.
     pub fn check(
         &mut self,
         listed: Option<&Arc<Member>>,
@@ -36,19 +42,27 @@
             return None;
         };
         let same = self.accepted.as_ref().is_some_and(|a| a.same_run(listed));
-        let follows = self.accepted.as_ref().is_some_and(|a| a.born <= listed.born);
-        if !(same || follows || listed.service == *service || self.outlasts(listed, view, ttl, now))
-        {
+        // In the source's first epoch an entry is never older than one that was read before.
+        let first_epoch = view.roster.revision().epoch == 0;
+        let believed = match &self.accepted {
+            // Another name may start at the address in the same millisecond.
+            Some(accepted) => accepted.born <= listed.born,
+            None => listed.service == *service && (view.fresh || first_epoch),
+        };
+        if !(same || believed || self.outlasts(listed, view, ttl, now)) {
             return None;
         }
         self.doubted = None;
-        // In the source's first epoch an entry is never older than one that was read before.
-        let first_epoch = view.roster.revision().epoch == 0;
         self.confirmed = view.fresh || first_epoch || (same && self.confirmed);
         self.accepted = Some(listed.clone());
         Some(listed.clone())
     }
 
+    /// Returns the last accepted entry.
+    pub fn accepted(&self) -> Option<&Arc<Member>> {
+        self.accepted.as_ref()
+    }
+
     /// Returns whether the last accepted entry is certain to have been the present one. The
     /// entry that replaces one that was not may belong to the same run of the backend server.
     pub fn is_confirmed(&self) -> bool {
--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -213,20 +213,41 @@
         self.revision
     }
 
-    fn set(&mut self, entry: Entry, now: Moment) -> bool {
+    /// Applies an entry. Within an epoch an entry can only advance the run under its name:
+    /// a write of an earlier run may be done seconds late, after the entry of the present
+    /// run, and updates of other processes may arrive out of order.
+    fn set(&mut self, mut entry: Entry, now: Moment) -> bool {
         let name = entry.member.name.clone();
         let known = self.present.get(&name);
         let last = known.map(|e| e.revision).or(self.removed.get(&name).copied());
-        if last.is_some_and(|last| entry.revision < last) {
+        let peer = known.filter(|e| e.revision.epoch == entry.revision.epoch);
+        let run = entry.member.run();
+        if peer.is_some_and(|known| run < known.member.run()) {
+            self.revision = self.revision.max(entry.revision);
             return false;
         }
+        let advances = peer.is_some_and(|known| run > known.member.run());
+        if last.is_some_and(|last| entry.revision < last) && !advances {
+            return false;
+        }
+        // The earlier run's entry may have been written later.
+        entry.revision = entry.revision.max(last.unwrap_or_default());
         self.revision = self.revision.max(entry.revision);
         self.removed.remove(&name);
         let (member, epoch) = (entry.member.clone(), entry.revision.epoch);
         let lapsed = self.lapsed.remove(&name);
         let old = self.present.insert(name.clone(), entry);
         // A source that went back may hold an earlier state of a backend server than
-        // the one that is known, until the backend server writes again.
+        // the one that is known, until the backend server writes again. In the same epoch,
+        // an earlier run does not end the time in which a lapsed entry may come back.
+        if let Some((later, until)) = &lapsed
+            && later.revision.epoch == epoch
+            && later.member.run() > run
+            && now < *until
+        {
+            self.lapsed.insert(name, (later.clone(), *until));
+            return false;
+        }
         let latest = lapsed.as_ref().map(|(entry, _)| entry).or(old.as_ref());
         let kept = latest.filter(|e| e.revision.epoch < epoch && e.member.follows(&member));
         if let Some(kept) = kept.filter(|_| now < self.grace_until).cloned() {
--- a/lib/src/version/member.rs
+++ b/lib/src/version/member.rs
@@ -8,6 +8,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::run::Run;
 use crate::value::name::Name;
 
 /// State of a backend server, as it registered itself.
@@ -48,7 +49,13 @@
     /// name: a later run, or the same run after it has announced that it leaves.
     pub fn follows(&self, other: &Self) -> bool {
         let left = self.standing == MemberState::Leaving && other.standing == MemberState::Ready;
-        self.born > other.born || self.born == other.born && left
+        let (run, before) = (self.run(), other.run());
+        run > before || run == before && left
+    }
+
+    /// Returns the run that registered itself.
+    pub fn run(&self) -> Run {
+        Run { name: self.name.clone(), start: self.born }
     }
 
     /// Returns whether `other` is the same run.
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -14,4 +14,5 @@
 pub mod roster;
 pub mod route;
 pub mod routes;
+pub mod run;
 pub mod service;
--- a/lib/tests/address_reuse.rs
+++ b/lib/tests/address_reuse.rs
@@ -47,12 +47,18 @@
     }
 }
 
-fn restart_all(world: &mut World) {
+/// Restarts all processes; the settings of agent 1 name `service`, if one is given.
+fn restart_all(world: &mut World, service: Option<&str>) {
     let agents = world.agents.len();
     (0..ENTRIES).for_each(|i| world.kill_entry(i));
     (0..agents).for_each(|i| world.kill_agent(i));
     (0..ENTRIES).for_each(|i| world.start_entry(i));
-    (0..agents).for_each(|i| world.start_agent(i, false));
+    for i in 0..agents {
+        match service.filter(|_| i == 1) {
+            Some(service) => world.start_agent_of(i, service.into(), false),
+            None => world.start_agent(i, false),
+        }
+    }
 }
 
 // A VM took over the address of one that was lost, for another service, while no process
@@ -144,7 +150,7 @@
             world.run(SECOND);
             world.restore_store(copy);
             world.store_up = true;
-            restart_all(&mut world);
+            restart_all(&mut world, None);
             calls(&mut world, 60);
             world.run(Duration::from_millis(700));
             (0..8).for_each(|i| world.register(i));
@@ -155,3 +161,33 @@
         }
     }
 }
+
+// As before, but the settings of the agent still name the service of the former holder, so
+// the copy's entry had the service of the settings: the agent took it for its own at once and
+// placed flows of that service at a backend server of another one (soak seed 193).
+#[test]
+fn an_agent_with_outdated_settings_believes_no_entry_of_a_copy_until_entries_are_written_again() {
+    for seed in 0..SEEDS {
+        let mut world = fleet(seed);
+        let copy = world.copy_store();
+        world.restart_backend(1, Some("firmware"));
+        world.run(SECOND * 3);
+        world.store_up = false;
+        world.run(SECOND);
+        world.restore_store(copy);
+        world.store_up = true;
+        restart_all(&mut world, Some("alarm"));
+        calls(&mut world, 300);
+        world.run(Duration::from_millis(1_200));
+        (0..8).for_each(|i| world.register(i));
+        world.run(SECOND * 8);
+        assert_eq!(world.checks.violations, Vec::<String>::new(), "seed {seed}");
+        // It serves the other service once its own entry has outlasted its heartbeats.
+        let begun = world.backends[1].begun;
+        for i in 0..100 {
+            world.call(1, SINGLE_REQUEST, Duration::from_millis(10 * i));
+        }
+        world.run(SECOND * 3);
+        assert!(world.backends[1].begun > begun, "seed {seed}: it is not used");
+    }
+}
--- a/lib/tests/registry.rs
+++ b/lib/tests/registry.rs
@@ -107,6 +107,33 @@
     assert!(names(&registry).is_empty());
 }
 
+// A write of an earlier run that was done late took the place of the present run's entry.
+#[test]
+fn an_entry_of_an_earlier_run_that_is_written_later_replaces_nothing() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    let born = |registry: &Registry| states(registry).iter().map(|s| s.0).collect::<Vec<_>>();
+    registry.change(vec![Change::Set(entry("a", "s", 2, 5))], NOW);
+    assert!(!registry.change(vec![Change::Set(entry("a", "s", 1, 6))], NOW));
+    let late = listing(7.into(), &[entry("a", "s", 1, 7)]);
+    assert!(!registry.replace(late.clone(), NOW));
+    assert!(!registry.learn(RegistryUpdate::Whole(late.clone()), NOW));
+    assert_eq!((born(&registry), registry.revision()), (vec![2], 7.into()));
+    // A process that knows only the late entry learns the present one from this one.
+    let mut other = Registry::default();
+    other.replace(late, NOW);
+    assert!(other.learn(RegistryUpdate::Whole(registry.listing()), NOW));
+    assert_eq!(born(&other), [2]);
+    // A removal ends the entry, and an earlier run does not take its place while it may
+    // come back.
+    registry.change(vec![removed("a", 8)], NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 1, 9))], NOW);
+    assert_eq!(born(&registry), [2]);
+    registry.change(vec![removed("a", 10)], NOW);
+    assert!(registry.expire(NOW + RETURN_GRACE));
+    assert!(names(&registry).is_empty());
+}
+
 #[test]
 fn an_address_belongs_to_the_run_that_started_last() {
     let mut registry = Registry::default();
--- a/testutils/src/packets/node.rs
+++ b/testutils/src/packets/node.rs
@@ -12,6 +12,7 @@
 use lagoonhollow_lib::process::registry::Registry;
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::run::Run;
 
 /// A process of the load balancer.
 #[derive(Debug)]
@@ -43,6 +44,8 @@
     pub view: View,
     /// Least interval between reads of the store, for a process that learns of changes late.
     pub read_delay: Duration,
+    /// Run of the backend server that accepted the agent's keep-alive connection.
+    pub connected_to: Option<Run>,
 }
 
 impl Node {
@@ -58,6 +61,7 @@
             store_lost: None,
             view: View::default(),
             read_delay: Duration::ZERO,
+            connected_to: None,
         }
     }
 
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -230,17 +230,25 @@
 
     /// Starts an agent.
     pub fn start_agent(&mut self, i: usize, first_start: bool) {
+        let service = self.backends[i].member.service.clone();
+        self.start_agent_of(i, service, first_start);
+    }
+
+    /// Starts an agent whose settings name this service.
+    pub fn start_agent_of(&mut self, i: usize, service: Name, first_start: bool) {
         let member = &self.backends[i].member;
         let me = Identity {
             link: self.agents[i].link,
             domain: member.domain.clone(),
             run: Incarnation(self.now.0),
             backend: member.address,
-            service: member.service.clone(),
+            service,
             reuse_delay: REUSE_DELAY,
             entry_ttl: ENTRY_TTL,
             first_start,
         };
+        // On a VM that runs, the address of a stopped backend server refuses packets.
+        self.backends[i].silent &= self.backends[i].up;
         let agent = Agent::open(me, self.now);
         self.agents[i].process = Some(Process::Agent(Box::new(agent)));
         self.schedule_process(self.agents[i].link);
@@ -278,10 +286,21 @@
         self.register(i);
     }
 
+    /// Starts a backend server that has crashed again, under its name; its registry entry
+    /// stays that of the earlier run until [`Self::register`].
+    pub fn start_run(&mut self, i: usize) {
+        let born = self.now.0 / 1_000;
+        self.backends[i] = Backend::open(Member { born, ..self.backends[i].member.clone() });
+    }
+
     /// Writes a backend server's registry entry.
     pub fn register(&mut self, i: usize) {
+        self.write_entry(self.backends[i].member.clone());
+    }
+
+    /// Writes a registry entry, whatever the backend servers are.
+    pub fn write_entry(&mut self, member: Member) {
         self.revision.number += 1;
-        let member = self.backends[i].member.clone();
         let entry = registry::Entry { member, revision: self.revision };
         self.registered.insert(entry.member.name.clone(), entry);
     }
@@ -459,7 +478,12 @@
     fn tick(&mut self, link: SocketAddr) {
         let now = self.now;
         let own = self.agents.iter().position(|n| n.link == link);
+        let run = own.map(|i| self.backends[i].member.run());
+        let connected_to = self.node(link).and_then(|n| n.connected_to.clone());
+        // A connection ends with the run that accepted it.
+        let ended = connected_to.is_some() && connected_to != run;
         let keep_alive = own.map(|i| match &self.backends[i] {
+            _ if ended => KeepAlive::Closed,
             backend if backend.is_connected(KEEP_ALIVE_TIMEOUT, now) => KeepAlive::Open,
             backend if backend.silent => KeepAlive::Closed,
             _ => KeepAlive::Refused,
@@ -468,6 +492,7 @@
         if node.paused_until <= now {
             if let (Some(keep_alive), Some(agent)) = (keep_alive, node.agent()) {
                 agent.update_keep_alive(keep_alive, now);
+                node.connected_to = run.filter(|_| keep_alive == KeepAlive::Open);
             }
             node.tick(now);
         }
