Keep the flows of a new run whose registry entry is read late

The entry of another run made the agent reset all flows in its table, also those that it had opened at that run before it read the entry. Flows record when the backend server answered them. RunEvidence concludes from the keep-alive connections before which time the earlier run had not ended: only flows that were answered before it are reset. The connection counts if a fresh view listed that run for longer than entries last without heartbeats, so that no later run can have accepted it. The flow table becomes complete by a change of run only if such a connection ended or the address refused one.

The keep-alive task reports an open connection every 500 ms, so that a stall of the control thread before it notices the end is left out.

An answer later than ANSWER_TIMEOUT left lagoonhollow_opening_seconds out, since the opening flow was removed by then. OverdueOpenings keeps the time of the offer.

--- a/daemon/src/connection/packet/keep_alive.rs
+++ b/daemon/src/connection/packet/keep_alive.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lagoonhollow_lib::process::liveness::KEEP_ALIVE_INTERVAL;
 use lagoonhollow_lib::process::liveness::KEEP_ALIVE_TIMEOUT;
 use lagoonhollow_lib::process::liveness::KeepAlive;
 use socket2::SockRef;
@@ -17,8 +18,9 @@
 
 use crate::process::packet::traffic_queues::Command;
 
-/// Idle time before the first keep-alive probe, and interval between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between two reports that the connection is open. The later the last one is,
+/// the more flows of a run that has ended are known to be its own.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before a closed or failed connection is opened again.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -34,10 +36,9 @@
                 if let Err(error) = enable_probes(&stream) {
                     spdlog::warn!("lifeline_not_probed", kv: { error: });
                 }
-                if traffic.send(Command::KeepAlive(KeepAlive::Open)).await.is_err() {
+                if report_open(stream, &traffic).await.is_err() {
                     return;
                 }
-                wait_for_end(stream).await;
                 KeepAlive::Closed
             }
             Ok(Err(error)) => {
@@ -59,17 +60,25 @@
     }
 }
 
-/// Waits until the connection ends. The backend server is not expected to send
-/// anything; what it sends is discarded.
-async fn wait_for_end(mut stream: TcpStream) {
+/// Reports that the connection is open until it ends. The backend server is not expected
+/// to send anything; what it sends is discarded.
+///
+/// # Errors
+///
+/// Returns an error if the traffic thread has ended.
+async fn report_open(
+    mut stream: TcpStream,
+    traffic: &mpsc::Sender<Command>,
+) -> Result<(), mpsc::error::SendError<Command>> {
     let mut buffer = [0; 64];
     loop {
-        match stream.read(&mut buffer).await {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(error) => {
+        traffic.send(Command::KeepAlive(KeepAlive::Open)).await?;
+        match timeout(REPORT_INTERVAL, stream.read(&mut buffer)).await {
+            Ok(Ok(0)) => return Ok(()),
+            Ok(Ok(_)) | Err(_) => {}
+            Ok(Err(error)) => {
                 spdlog::debug!("lifeline_ended", kv: { error: });
-                return;
+                return Ok(());
             }
         }
     }
@@ -79,7 +88,8 @@
 fn enable_probes(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     let keep_alive =
-        TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL).with_retries(1);
+        TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
+    let keep_alive = keep_alive.with_retries(1);
     socket.set_tcp_keepalive(&keep_alive)?;
     socket.set_tcp_user_timeout(Some(KEEP_ALIVE_TIMEOUT))
 }
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -13,6 +13,7 @@
 pub mod handover;
 pub mod hints;
 pub mod lookup;
+pub mod overdue;
 pub mod ownership;
 pub mod placement;
 pub mod reconciliation;
--- a/lib/src/connection/served_flows.rs
+++ b/lib/src/connection/served_flows.rs
@@ -80,6 +80,9 @@
     pub placer: Option<SocketAddr>,
     /// When the flow was last used.
     pub used: Moment,
+    /// When the backend server answered the opening packet, or a time after it if another
+    /// process saw the answer.
+    pub answered: Option<Moment>,
     /// Time that the caller had waited before its opening packet came.
     pub waited: Duration,
     /// Sequence number of the caller's opening packet, if this agent saw it.
@@ -101,8 +104,8 @@
 
 impl<S> Flow<S> {
     fn transition<T>(self, state: T, now: Moment) -> Flow<T> {
-        let Self { entry, placer, waited, caller_isn, .. } = self;
-        Flow { entry, placer, used: now, waited, caller_isn, state }
+        let Self { entry, placer, answered, waited, caller_isn, .. } = self;
+        Flow { entry, placer, used: now, answered, waited, caller_isn, state }
     }
 }
 
@@ -110,12 +113,13 @@
     /// Opens a flow whose opening packet is passed to the backend server.
     pub fn open(entry: Option<SocketAddr>, placer: Option<SocketAddr>, now: Moment) -> Self {
         let state = Opening { offered: now };
-        Self { entry, placer, used: now, waited: Duration::ZERO, caller_isn: None, state }
+        let (answered, waited, caller_isn) = (None, Duration::ZERO, None);
+        Self { entry, placer, used: now, answered, waited, caller_isn, state }
     }
 
     /// Handles the backend server's answer to the opening packet.
     pub fn answer(self, isn: u32, now: Moment) -> Flow<Answered> {
-        self.transition(Answered { isn }, now)
+        Flow { answered: Some(now), ..self.transition(Answered { isn }, now) }
     }
 }
 
@@ -131,8 +135,8 @@
     /// Opens an established flow whose handshake this agent did not see.
     pub fn learn(entry: Option<SocketAddr>, isn: Option<u32>, now: Moment) -> Self {
         let state = Established::open(isn);
-        let (waited, caller_isn) = (Duration::ZERO, None);
-        Self { entry, placer: None, used: now, waited, caller_isn, state }
+        let (answered, waited, caller_isn) = (Some(now), Duration::ZERO, None);
+        Self { entry, placer: None, used: now, answered, waited, caller_isn, state }
     }
 
     /// Handles a packet of the caller; returns whether it begins a request, which
@@ -196,6 +200,16 @@
         }
     }
 
+    /// Returns whether the backend server answered the opening packet before `time`.
+    pub fn is_answered_before(&self, time: Moment) -> bool {
+        let answered = match self {
+            Self::Opening(f) => f.answered,
+            Self::Answered(f) => f.answered,
+            Self::Established(f) => f.answered,
+        };
+        answered.is_some_and(|answered| answered < time)
+    }
+
     /// Returns the backend server's initial sequence number, if it is known.
     pub fn isn(&self) -> Option<u32> {
         match self {
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -11,6 +11,7 @@
 use crate::process::liveness::KeepAlive;
 use crate::process::liveness::Liveness;
 use crate::process::own_entry::OwnEntry;
+use crate::process::run_evidence::RunEvidence;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
 use crate::value::reason::Reason;
@@ -22,6 +23,7 @@
 pub struct BackendHealth {
     member: Option<Arc<Member>>,
     own_entry: OwnEntry,
+    evidence: RunEvidence,
     liveness: Liveness,
     // Whether the flow table has every flow of the backend server.
     complete: bool,
@@ -29,6 +31,8 @@
     keep_alive: KeepAlive,
     // When the last packet of the backend server came, or this agent started.
     last_heard: Moment,
+    // Whether no packet of the backend server has come since this agent started.
+    unheard: bool,
     // Since when the fresh roster has not listed the backend server.
     missing_since: Option<Moment>,
     leaving: bool,
@@ -41,10 +45,12 @@
         Self {
             member: None,
             own_entry: OwnEntry::default(),
+            evidence: RunEvidence::default(),
             liveness: Liveness::open(now),
             complete,
             keep_alive: KeepAlive::Closed,
             last_heard: now,
+            unheard: true,
             missing_since: None,
             leaving: false,
         }
@@ -76,24 +82,27 @@
         self.leaving = true;
     }
 
-    /// Applies the roster's entry of the backend server; returns whether another run has
-    /// its address, so that the flows of the one before it are over.
-    pub fn update_member(&mut self, context: &mut AgentContext, now: Moment) -> bool {
+    /// Applies the roster's entry of the backend server. If it is that of another run,
+    /// returns the time before which its flows certainly opened at an earlier one, if that
+    /// is known.
+    pub fn update_member(&mut self, context: &mut AgentContext, now: Moment) -> Option<Moment> {
         let confirmed = self.own_entry.is_confirmed();
+        let before = self.own_entry.accepted().cloned();
         let (me, view) = (&context.me, &context.view);
         let listed = view.roster.holder(me.backend);
         let member = self.own_entry.check(listed, &me.service, view, me.entry_ttl, now);
-        let mut replaced = false;
-        match (&self.member, &member) {
+        let mut ended = None;
+        match (before, &member) {
             (Some(old), Some(new)) if !old.same_run(new) => {
                 // If the entry before was not confirmed, the flows may be those of the run
                 // that was there all the while; if not, the backend server returns their
                 // packets.
-                replaced = confirmed;
-                self.complete |= confirmed;
+                // This process has forwarded all flows of a run that began after it.
+                self.complete |= confirmed && self.evidence.precedes_next();
+                ended = self.evidence.advance().filter(|_| confirmed);
                 self.liveness = Liveness::open(now);
             }
-            (None, Some(_)) => self.liveness = Liveness::open(now),
+            (_, Some(_)) if self.member.is_none() => self.liveness = Liveness::open(now),
             _ => {}
         }
         let changed = match (&self.member, &member) {
@@ -114,18 +123,18 @@
         if member.is_some() || context.view.fresh {
             self.member = member;
         }
-        replaced
+        ended
     }
 
     /// Records a packet that any run of the backend server may have sent.
     pub fn heard(&mut self, now: Moment) {
-        self.last_heard = now;
+        (self.last_heard, self.unheard) = (now, false);
         self.liveness.heard(now);
     }
 
     /// Records a packet that only the run which accepted its flow can have sent.
     pub fn heard_run(&mut self, context: &mut AgentContext, now: Moment) {
-        self.last_heard = now;
+        (self.last_heard, self.unheard) = (now, false);
         self.mark_working(context, now);
     }
 
@@ -141,13 +150,19 @@
         self.keep_alive = keep_alive;
         match keep_alive {
             KeepAlive::Open => {
+                self.evidence.connected(now);
                 self.liveness.connected(now);
-                false
+                return false;
             }
-            // A backend server that still sends packets has merely too many connections.
-            KeepAlive::Refused if now.since(self.last_heard) >= DEAD_AFTER => self.refused(now),
-            KeepAlive::Refused | KeepAlive::Closed => false,
+            KeepAlive::Refused | KeepAlive::Closed => self.evidence.disconnected(),
         }
+        // A backend server that still sends packets has merely too many connections.
+        let silent = now.since(self.last_heard) >= DEAD_AFTER;
+        let refused = keep_alive == KeepAlive::Refused;
+        if refused && (silent || self.unheard) {
+            self.evidence.refused();
+        }
+        refused && silent && self.refused(now)
     }
 
     /// Handles a refusal of packets by the backend server's address; returns whether it
@@ -177,6 +192,12 @@
         if self.keep_alive == KeepAlive::Open {
             self.liveness.connected(now);
         }
+        let view = &context.view;
+        let listed = view.roster.holder(context.me.backend);
+        let listed = listed.zip(self.own_entry.accepted()).is_some_and(|(l, own)| l.same_run(own));
+        if view.fresh && listed {
+            self.evidence.listed(view.read_at, context.me.entry_ttl);
+        }
         let mut dead = self.has_vanished(context, now);
         if self.liveness.tick(context.me.reuse_delay, now) {
             match self.liveness.condition() {
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -39,6 +39,9 @@
     BackendSilent,
     /// The backend server is considered dead, and its flows with it.
     BackendDead,
+    /// A later run of the backend server registered itself, and flows that were certainly
+    /// opened at an earlier one are over.
+    RunEnded,
     /// The backend server was silent for so long that another one may have its address.
     BackendUnproven,
     /// The backend server works again.
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -14,6 +14,7 @@
 use super::probes::Probes;
 use super::waiting::Waiting;
 use crate::connection::flow::FlowKey;
+use crate::connection::overdue::OverdueOpenings;
 use crate::connection::segment::Packet;
 use crate::connection::segment::Segment;
 use crate::connection::served_flows::Established;
@@ -54,6 +55,7 @@
 pub struct LocalBackend {
     health: BackendHealth,
     served: ServedFlows,
+    overdue: OverdueOpenings,
     probes: Probes,
     waiting: Waiting,
 }
@@ -65,6 +67,7 @@
         Self {
             health: BackendHealth::open(complete, now),
             served: ServedFlows::default(),
+            overdue: OverdueOpenings::default(),
             probes: Probes::default(),
             waiting: Waiting::open(now),
         }
@@ -112,12 +115,22 @@
         self.health.leave();
     }
 
-    /// Applies the roster's entry of the backend server.
+    /// Applies the roster's entry of the backend server. Flows that were certainly opened at
+    /// an earlier run are reset. Others may belong to the present one; if they do not, the
+    /// backend server returns their next packet.
     pub fn update_member(&mut self, context: &mut AgentContext, now: Moment) {
         // The flows are released at the homes of the service that they belong to.
         let service = self.service(context).clone();
-        if self.health.update_member(context, now) {
-            self.reset_flows(context, &service, now);
+        if let Some(ended) = self.health.update_member(context, now) {
+            let over = self.served.iter().filter(|(_, s)| s.is_answered_before(ended));
+            let over: Vec<_> = over.map(|(flow, _)| *flow).collect();
+            for flow in &over {
+                self.cancel_request(flow, now);
+                if let Some(served) = self.served.remove(flow) {
+                    reset(context, &service, flow, &served);
+                }
+            }
+            context.record(Event::of(Decision::RunEnded).value(over.len() as u64));
         }
     }
 
@@ -326,11 +339,11 @@
         }
         let before = self.served.get(&flow).copied();
         let answers = segment.flags.opens;
+        if answers {
+            self.measure_opening(context, &flow, now);
+        }
         let after = match before {
-            Some(ServedFlow::Opening(f)) if answers => {
-                context.act(Action::Measured(Phase::Opening, now.since(f.state.offered)));
-                f.answer(segment.seq, now).into()
-            }
+            Some(ServedFlow::Opening(f)) if answers => f.answer(segment.seq, now).into(),
             Some(ServedFlow::Answered(f)) if !answers => {
                 self.apply_reply(context, f.establish(now), segment, now)
             }
@@ -363,6 +376,18 @@
         changed.then_some(after)
     }
 
+    /// Measures the time until the backend server answered an opening packet, also if its
+    /// answer is overdue.
+    fn measure_opening(&mut self, context: &mut AgentContext, flow: &FlowKey, now: Moment) {
+        let opening = match self.served.get(flow) {
+            Some(ServedFlow::Opening(f)) => Some(f.state.offered),
+            _ => None,
+        };
+        if let Some(offered) = self.overdue.take(flow).or(opening) {
+            context.act(Action::Measured(Phase::Opening, now.since(offered)));
+        }
+    }
+
     /// Applies a packet of the backend server to its flow, and ends the request
     /// that it begins to answer.
     fn apply_reply(
@@ -487,8 +512,9 @@
         }
         self.start_queued(context, now);
         let late = self.served.unanswered(now - ANSWER_TIMEOUT);
-        for (flow, _) in &late {
+        for (flow, opening) in &late {
             self.served.remove(flow);
+            self.overdue.add(*flow, opening.state.offered);
             if self.health.missed(now) {
                 let event = Event::of(Decision::BackendSilent).reason(Reason::Shed);
                 context.record(event.flow(*flow));
@@ -511,6 +537,7 @@
             }
             release(context, &service, &flow, &served);
         }
+        self.overdue.expire(now);
         self.probes.expire(now);
     }
 
@@ -518,24 +545,23 @@
     fn mark_dead(&mut self, context: &mut AgentContext, now: Moment) {
         context.record(Event::of(Decision::BackendDead).value(self.served.count() as u64));
         let service = self.service(context).clone();
-        self.reset_flows(context, &service, now);
+        for (flow, served) in self.served.drain() {
+            reset(context, &service, &flow, &served);
+        }
+        self.waiting.clear(now);
         self.health.bury();
     }
+}
 
-    /// Resets the flows of a backend server that is gone.
-    fn reset_flows(&mut self, context: &mut AgentContext, service: &Name, now: Moment) {
-        let flows: Vec<_> = self.served.drain().collect();
-        for (flow, served) in flows {
-            if let ServedFlow::Established(f) = &served
-                && !f.is_closed()
-            {
-                context.record(Event::of(Decision::Reset).reason(Reason::NotHere).flow(flow));
-                context.act(Action::Reset { flow, seq: f.state.ack });
-            }
-            release(context, service, &flow, &served);
-        }
-        self.waiting.clear(now);
+/// Resets a flow of `service` that is over.
+fn reset(context: &mut AgentContext, service: &Name, flow: &FlowKey, served: &ServedFlow) {
+    if let ServedFlow::Established(f) = served
+        && !f.is_closed()
+    {
+        context.record(Event::of(Decision::Reset).reason(Reason::NotHere).flow(*flow));
+        context.act(Action::Reset { flow: *flow, seq: f.state.ack });
     }
+    release(context, service, flow, served);
 }
 
 /// Tells the homes of a flow of `service` that its owner no longer has it.
--- a/lib/src/process/liveness.rs
+++ b/lib/src/process/liveness.rs
@@ -20,6 +20,11 @@
 /// Time after which keep-alive probes close the connection to a silent backend
 /// server. Until then, an open connection proves nothing.
 pub const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time before the first keep-alive probe, and interval between two probes.
+pub const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which the connection to a backend server that ended silently, as with
+/// its VM, still seems to be open.
+pub const SILENT_END_TIMEOUT: Duration = KEEP_ALIVE_INTERVAL.saturating_add(KEEP_ALIVE_TIMEOUT);
 
 /// Presumed condition of a backend server.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -36,7 +41,7 @@
 /// State of the idle connection to a backend server, which ends with its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeepAlive {
-    /// It is open.
+    /// It is open; reported when it is opened, and regularly as long as it is.
     Open,
     /// It is not open, for an unknown reason.
     Closed,
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -20,5 +20,6 @@
 pub mod recovery;
 pub mod registry;
 pub mod rumors;
+pub mod run_evidence;
 pub mod safeguard;
 pub mod view;
