Reset flows of a dropped route only under the present routes

An entry reset packets of established flows whose route its version lacks and the version before had. Such a flow may have been opened under a later version that has the route again and that the entry has not read. The entry now resets it only if it remembers the flow's owner from the version before, or if its routes were confirmed after the flow's first packet came and no agent has named later ones. Otherwise the packet is dropped, and the caller's retransmission decides.

--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod delayed_acks;
 pub mod directory;
+pub mod dropped_flows;
 pub mod flow;
 pub mod flows;
 pub mod forwarder;
--- a/lib/src/front/packet/entry.rs
+++ b/lib/src/front/packet/entry.rs
@@ -13,6 +13,7 @@
 use super::event::Event;
 use super::message::KnownVersions;
 use super::message::Message;
+use crate::connection::dropped_flows::DroppedFlows;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Hints;
 use crate::connection::hints::Owner;
@@ -49,6 +50,9 @@
     view: View,
     hints: Hints,
     unrouted: UnroutedFlows,
+    dropped: DroppedFlows,
+    // Latest version of the routes that an agent has named.
+    latest_routes: u64,
     suspects: HashMap<SocketAddr, Moment>,
     expired_at: Moment,
     queried_at: Moment,
@@ -67,6 +71,8 @@
             view: View::default(),
             hints: Hints::default(),
             unrouted: UnroutedFlows::default(),
+            dropped: DroppedFlows::default(),
+            latest_routes: 0,
             suspects: HashMap::new(),
             expired_at: now,
             queried_at: now,
@@ -148,6 +154,7 @@
         now: Moment,
     ) {
         self.suspects.remove(&from);
+        self.latest_routes = self.latest_routes.max(known.routes);
         if known.exceed(&self.known()) {
             self.actions.push(Action::Behind { peer: from, known });
         }
@@ -179,6 +186,7 @@
             self.expired_at = now;
             let idle = self.view.routes.published().idle.max(MIN_IDLE_TIME);
             self.hints.expire(idle, now);
+            self.dropped.expire(now);
             self.suspects.retain(|_, until| *until > now);
         }
     }
@@ -265,17 +273,29 @@
             self.drop_packet(&segment.flow, Reason::NoService);
             return;
         }
+        let dropped = self.view.routes.dropped(segment.flow.service);
         // An established flow may belong to a later version of the routes than
-        // this entry has.
-        if segment.is_opening() || self.view.routes.dropped(segment.flow.service) {
-            self.refuse(packet, Reason::NoService);
-        } else if let Some(owner) = self.hints.find(segment, now) {
-            self.deliver(owner, packet.clone());
-        } else {
-            self.drop_packet(&segment.flow, Reason::NoService);
+        // this entry has, but not if it was opened through this entry under the version
+        // before.
+        match self.hints.find(segment, now) {
+            _ if segment.is_opening() => self.refuse(packet, Reason::NoService),
+            Some(_) if dropped => self.refuse(packet, Reason::NoService),
+            Some(owner) => self.deliver(owner, packet.clone()),
+            None if dropped && self.is_over(&segment.flow, now) => {
+                self.refuse(packet, Reason::NoService);
+            }
+            None => self.drop_packet(&segment.flow, Reason::NoService),
         }
     }
 
+    /// Returns whether a flow whose route was dropped was not opened under later routes than
+    /// this entry has.
+    fn is_over(&mut self, flow: &FlowKey, now: Moment) -> bool {
+        let latest = self.view.routes.version() >= self.latest_routes;
+        let confirmed = (self.view.fresh && latest).then_some(self.view.read_at);
+        self.dropped.is_over(*flow, confirmed, now)
+    }
+
     fn refuse(&mut self, packet: &Packet, reason: Reason) {
         let segment = &packet.segment;
         self.tally.add(reason);
