Keep new flows out of evacuated failure domains

Nothing used the evacuated domains that processes know. The agent beside a backend server now makes the last check (front/packet/gate.rs): it accepts no flow while its domain is evacuated, whether offered with Place, Deliver or by itself as the home, and says so in its heartbeats. Copies of opening packets that the backend server has answered pass. A home offers no flow to a member of an evacuated domain, whatever that member reported, and refuses with reason evacuated if nothing is left. After a stall of 1.5 s or more, an agent accepts flows again only once its knowledge was confirmed, or 1.5 s later: the offers that waited in its socket are handled before it reads the store.

In virtual time, a paused process reads the store only after its pause, and processes take the evacuations from others.

--- a/lib/src/connection/placement.rs
+++ b/lib/src/connection/placement.rs
@@ -8,6 +8,7 @@
 use super::segment::Packet;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
+use crate::value::reason::Reason;
 
 /// Maximum number of placements in progress.
 pub const MAX_PLACEMENTS: usize = 8_192;
@@ -22,9 +23,9 @@
 pub struct Offer {
     /// The agent's datagram address.
     pub link: SocketAddr,
-    /// Whether the agent declined for certain; otherwise its backend server may
-    /// still answer.
-    pub declined: bool,
+    /// Why the agent declined for certain; if it did not, its backend server may still
+    /// answer.
+    pub declined: Option<Reason>,
 }
 
 /// A placement in progress.
@@ -47,24 +48,24 @@
 impl Placement {
     /// Adds an offer to the agent at `link` that times out at `due`.
     pub fn offer(&mut self, link: SocketAddr, due: Moment) {
-        self.offers.push(Offer { link, declined: false });
+        self.offers.push(Offer { link, declined: None });
         self.due = due;
     }
 
-    /// Returns whether the agent at `link` has had an offer.
-    pub fn was_offered(&self, link: SocketAddr) -> bool {
-        self.offers.iter().any(|o| o.link == link)
+    /// Returns the offer to the agent at `link`, if it has had one.
+    pub fn offer_to(&self, link: SocketAddr) -> Option<&Offer> {
+        self.offers.iter().find(|o| o.link == link)
     }
 
-    /// Records that the agent at `link` declined for certain.
-    pub fn decline(&mut self, link: SocketAddr) {
+    /// Records why the agent at `link` declined for certain.
+    pub fn decline(&mut self, link: SocketAddr, reason: Reason) {
         let offers = self.offers.iter_mut().filter(|o| o.link == link);
-        offers.for_each(|o| o.declined = true);
+        offers.for_each(|o| o.declined = Some(reason));
     }
 
     /// Returns the number of offers that may still be answered.
     pub fn unanswered(&self) -> usize {
-        self.offers.iter().filter(|o| !o.declined).count()
+        self.offers.iter().filter(|o| o.declined.is_none()).count()
     }
 }
 
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -84,6 +84,7 @@
 
     /// Applies the routes and the roster that the process knows now.
     pub fn update_view(&mut self, view: View, now: Moment) {
+        self.backend.record_run(now);
         let before = std::mem::replace(&mut self.context.view, view);
         self.backend.update_member(&mut self.context, now);
         if before.roster.revision() != self.context.view.roster.revision() {
@@ -160,6 +161,7 @@
         packet: Option<Packet>,
         now: Moment,
     ) {
+        self.backend.record_run(now);
         self.placer.neighbours.touch(from, now);
         if known.exceed(&self.context.known()) {
             self.context.act(Action::Behind { peer: from, known });
@@ -209,6 +211,7 @@
     pub fn tick(&mut self, now: Moment) {
         let stalled = now.since(self.ticked_at).saturating_sub(TICK_INTERVAL);
         self.ticked_at = now;
+        self.backend.record_run(now);
         self.backend.stalled(stalled, now);
         let pauses = self.detector.record_tick(now);
         if pauses != self.pauses {
@@ -282,7 +285,7 @@
             Message::Declined { flow, why } => {
                 let (context, backend) = (&mut self.context, &mut self.backend);
                 if why.is_certain() {
-                    self.placer.decline(context, backend, &flow, from, now);
+                    self.placer.decline(context, backend, &flow, (from, why), now);
                 } else {
                     self.placer.neighbours.suspect(from, now);
                     self.placer.retry(context, backend, &flow, now);
@@ -351,15 +354,18 @@
             Ok(()) => self.notify_entry(entry, &flow),
             // A retransmitted opening packet of a flow that was removed here.
             Err(_) if packet.segment.is_opening() => {
-                let fits = self.backend.is_routed(&self.context, &flow);
-                if fits && self.backend.accepts_flows(now) {
-                    self.backend.offer(&mut self.context, &packet, entry, None, now);
-                } else {
-                    // The caller's next copy is placed anew by the flow's home.
-                    let reason = if fits { Reason::Leaving } else { Reason::WrongService };
-                    let event = Event::of(Decision::Dropped).reason(reason).flow(flow);
-                    self.context.record(event);
-                    self.context.send(entry, Message::NotOwner { flow });
+                let check = match self.backend.is_routed(&self.context, &flow) {
+                    true => self.backend.check_new_flow(now),
+                    false => Err(Decline::WrongService),
+                };
+                match check {
+                    Ok(()) => self.backend.offer(&mut self.context, &packet, entry, None, now),
+                    Err(why) => {
+                        // The caller's next copy is placed anew by the flow's home.
+                        let event = Event::of(Decision::Dropped).reason(why.reason()).flow(flow);
+                        self.context.record(event);
+                        self.context.send(entry, Message::NotOwner { flow });
+                    }
                 }
             }
             Err(NotServed::Unknown) => {
@@ -382,15 +388,20 @@
         now: Moment,
     ) {
         let flow = packet.segment.flow;
-        let fits = *self.backend.service(&self.context) == service;
-        // Another home may have placed the flow here already.
-        if !fits || !(self.backend.accepts_flows(now) || self.backend.has_answered(&flow)) {
-            let why = if fits { Decline::Leaving } else { Decline::WrongService };
-            self.context.tally.add(why.reason());
-            self.context.send(home, Message::Declined { flow, why });
-            return;
+        let check = match *self.backend.service(&self.context) == service {
+            false => Err(Decline::WrongService),
+            // Another home may have placed the flow here already.
+            true if self.backend.has_answered(&packet.segment) => Ok(()),
+            true => self.backend.check_new_flow(now),
+        };
+        match check {
+            Ok(()) => self.backend.offer(&mut self.context, &packet, entry, Some(home), now),
+            Err(why) => {
+                let event = Event::of(Decision::Declined).reason(why.reason());
+                self.context.record(event.flow(flow).peer(home));
+                self.context.send(home, Message::Declined { flow, why });
+            }
         }
-        self.backend.offer(&mut self.context, &packet, entry, Some(home), now);
     }
 
     /// Answers a home that asks for a flow's owner.
@@ -442,7 +453,8 @@
                 }
                 Some(None) => {
                     let link = self.context.me.link;
-                    self.placer.decline(&mut self.context, &mut self.backend, &flow, link, now);
+                    let by = (link, Decline::Full);
+                    self.placer.decline(&mut self.context, &mut self.backend, &flow, by, now);
                 }
                 None => {}
             }
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -55,6 +55,11 @@
         self.member.as_ref().map_or(&context.me.service, |m| &m.service)
     }
 
+    /// Returns the failure domain of the backend server, if it has registered itself.
+    pub fn domain(&self) -> Option<&Name> {
+        self.member.as_ref().map(|m| &m.domain)
+    }
+
     /// Returns the number of requests that the backend server works on at once.
     pub fn slots(&self) -> u32 {
         self.member.as_ref().map_or(1, |m| m.slots)
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -17,6 +17,8 @@
     Replaced,
     /// A backend server answered an opening packet.
     Opened,
+    /// An offer of a flow was declined.
+    Declined,
     /// A flow was refused before it opened.
     Refused,
     /// A flow was reset.
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -7,8 +7,10 @@
 use super::action::Phase;
 use super::backend_health::BackendHealth;
 use super::context::AgentContext;
+use super::decline::Decline;
 use super::event::Decision;
 use super::event::Event;
+use super::gate::Gate;
 use super::message::Message;
 use super::probes::Probe;
 use super::probes::Probes;
@@ -53,6 +55,7 @@
 #[derive(Debug)]
 pub struct LocalBackend {
     health: BackendHealth,
+    gate: Gate,
     served: ServedFlows,
     probes: Probes,
     waiting: Waiting,
@@ -64,6 +67,7 @@
     pub fn open(complete: bool, now: Moment) -> Self {
         Self {
             health: BackendHealth::open(complete, now),
+            gate: Gate::open(now),
             served: ServedFlows::default(),
             probes: Probes::default(),
             waiting: Waiting::open(now),
@@ -82,7 +86,17 @@
 
     /// Returns whether the backend server accepts new flows.
     pub fn accepts_flows(&self, now: Moment) -> bool {
-        self.health.accepts_flows(now)
+        self.check_new_flow(now).is_ok()
+    }
+
+    /// Checks whether a new flow may open at the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not.
+    pub fn check_new_flow(&self, now: Moment) -> Result<(), Decline> {
+        self.gate.check(now)?;
+        if self.health.accepts_flows(now) { Ok(()) } else { Err(Decline::Leaving) }
     }
 
     /// Returns whether the routes in force send the flow, if it is new, to the backend
@@ -92,9 +106,10 @@
         route.and_then(|r| r.service(flow.hash())) == Some(self.service(context))
     }
 
-    /// Returns whether the backend server has answered the flow's opening packet.
-    pub fn has_answered(&self, flow: &FlowKey) -> bool {
-        self.served.get(flow).is_some_and(ServedFlow::is_answered)
+    /// Returns whether the backend server has answered this opening packet or a copy of it.
+    pub fn has_answered(&self, opening: &Segment) -> bool {
+        let served = self.served.get(&opening.flow);
+        served.is_some_and(|s| s.is_answered() && !s.is_followed_by(opening))
     }
 
     /// Returns whether the table has every flow of the backend server.
@@ -119,6 +134,13 @@
         if self.health.update_member(context, now) {
             self.reset_flows(context, &service, now);
         }
+        let domains = [&context.me.domain].into_iter().chain(self.health.domain());
+        self.gate.update(&context.view, domains);
+    }
+
+    /// Records that the agent runs.
+    pub fn record_run(&mut self, now: Moment) {
+        self.gate.record_run(now);
     }
 
     /// Passes an opening packet to the backend server.
@@ -137,7 +159,7 @@
         let caller_isn = Some(packet.segment.seq);
         let opening = Flow::<Opening>::open(Some(entry), placer, now);
         let opening = Flow { waited, caller_isn, ..opening };
-        if !self.has_answered(&flow) && !self.served.put(flow, opening) {
+        if !self.has_answered(&packet.segment) && !self.served.put(flow, opening) {
             context.tally.add(Reason::FlowsFull);
         }
         context.act(Action::Backend(packet.clone()));
@@ -159,8 +181,11 @@
         self.end_followed(context, segment, now);
         let missing =
             if self.health.is_complete() { NotServed::Absent } else { NotServed::Unknown };
+        let open = self.check_new_flow(now).is_ok();
         let served = self.served.get_mut(&segment.flow).ok_or(missing)?;
         match served {
+            // It may open only now, by a copy of a packet that was lost.
+            ServedFlow::Opening(_) if segment.is_opening() && !open => return Err(missing),
             ServedFlow::Opening(flow) => flow.entry = Some(entry),
             ServedFlow::Answered(flow) if segment.is_opening() => flow.entry = Some(entry),
             ServedFlow::Answered(flow) if segment.completes_handshake(flow.state.isn) => {
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -11,10 +11,12 @@
 
 use super::action::Action;
 use super::context::AgentContext;
+use super::decline::Decline;
 use super::event::Decision;
 use super::event::Event;
 use super::local_backend::LocalBackend;
 use super::message::Message;
+use super::shortage::Shortage;
 use crate::connection::flow::FlowKey;
 use crate::connection::placement::MAX_UNANSWERED;
 use crate::connection::placement::OFFER_TIMEOUT;
@@ -69,9 +71,10 @@
         now: Moment,
     ) {
         let flow = placement.packet.segment.flow;
-        let choice = self.choose(context, backend, &placement, now);
+        let mut shortage = Shortage::default();
+        let choice = self.choose(context, backend, &placement, &mut shortage, now);
         let Some((link, cost)) = choice.filter(|_| placement.unanswered() < MAX_UNANSWERED) else {
-            reject(context, placement);
+            reject(context, placement, shortage);
             return;
         };
         let decision = match placement.offers.len() {
@@ -96,17 +99,17 @@
         self.placements.end(flow);
     }
 
-    /// Handles a definite refusal of an offer by the agent at `link`.
+    /// Handles a definite refusal of an offer by the agent at `link`, for the reason `why`.
     pub fn decline(
         &mut self,
         context: &mut AgentContext,
         backend: &mut LocalBackend,
         flow: &FlowKey,
-        link: SocketAddr,
+        (link, why): (SocketAddr, Decline),
         now: Moment,
     ) {
         if let Some(mut placement) = self.placements.end(flow) {
-            placement.decline(link);
+            placement.decline(link, why.reason());
             self.place(context, backend, placement, now);
         }
     }
@@ -150,22 +153,30 @@
     }
 
     /// Returns the address and the cost of the best backend server that has not
-    /// been offered the flow yet.
+    /// been offered the flow yet; adds to `shortage` why others can't be.
     fn choose(
         &mut self,
         context: &AgentContext,
         backend: &mut LocalBackend,
         placement: &Placement,
+        shortage: &mut Shortage,
         now: Moment,
     ) -> Option<(SocketAddr, f64)> {
         let pool = context.view.roster.pool(&placement.service)?;
         let mut best: Option<(SocketAddr, f64)> = None;
         for member in pool.members() {
             let link = context.link(member);
-            if placement.was_offered(link) {
+            if let Some(offer) = placement.offer_to(link) {
+                offer.declined.into_iter().for_each(|reason| shortage.add(reason));
                 continue;
             }
-            let Some(cost) = self.cost(context, backend, member, link, now) else { continue };
+            let cost = match self.cost(context, backend, member, link, now) {
+                Ok(cost) => cost,
+                Err(why) => {
+                    shortage.add(why.reason());
+                    continue;
+                }
+            };
             let mut cost = cost * self.rng.random_range(1.0..1.0 + JITTER);
             if member.domain != placement.domain {
                 cost += DOMAIN_PENALTY.as_micros() as f64;
@@ -177,8 +188,11 @@
         best
     }
 
-    /// Returns the expected completion time and penalties in microseconds; none
-    /// if the backend server accepts no new flows.
+    /// Returns the expected completion time and penalties in microseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the backend server accepts no new flows.
     fn cost(
         &self,
         context: &AgentContext,
@@ -186,25 +200,31 @@
         member: &Member,
         link: SocketAddr,
         now: Moment,
-    ) -> Option<f64> {
+    ) -> Result<f64, Decline> {
         if member.standing != MemberState::Ready {
-            return None;
+            return Err(Decline::Leaving);
+        }
+        // Whatever the member reported, since the report may be older than the order.
+        if context.view.evacuations.covers(&member.domain) {
+            return Err(Decline::Evacuated);
         }
         if link == context.me.link {
             // The address may be listed under a former holder's service.
-            let fits = *backend.service(context) == member.service;
-            let accepts = fits && backend.accepts_flows(now);
-            return accepts.then(|| backend.load(now).completion(0));
+            if *backend.service(context) != member.service {
+                return Err(Decline::WrongService);
+            }
+            backend.check_new_flow(now)?;
+            return Ok(backend.load(now).completion(0));
         }
         let suspect = self.neighbours.is_suspect(link, now);
         let penalty = if suspect { SUSPECT_PENALTY.as_micros() as f64 } else { 0.0 };
         match self.neighbours.get(link) {
-            Some(n) if !n.accepting || n.service != member.service => None,
-            Some(n) => Some(n.load.completion(n.charged) + penalty),
+            Some(n) if !n.accepting || n.service != member.service => Err(Decline::Leaving),
+            Some(n) => Ok(n.load.completion(n.charged) + penalty),
             None => {
                 let charged = self.neighbours.charged_unheard(link);
                 let load = Load::unknown(member.slots);
-                Some(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64 + penalty)
+                Ok(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64 + penalty)
             }
         }
     }
@@ -213,7 +233,7 @@
 /// Ends a placement that no backend server accepted. The flow is refused only
 /// if every offer was declined: after one that was not answered it may be open
 /// already, with the answer late. Without a roster it may be open anywhere.
-fn reject(context: &mut AgentContext, placement: Placement) {
+fn reject(context: &mut AgentContext, placement: Placement, shortage: Shortage) {
     let flow = placement.packet.segment.flow;
     let unanswered = placement.unanswered();
     if unanswered > 0 || !context.view.has_roster() {
@@ -221,7 +241,7 @@
         context.record(event.value(unanswered as u64));
         return;
     }
-    let event = Event::of(Decision::Refused).reason(Reason::NoBackend).flow(flow);
+    let event = Event::of(Decision::Refused).reason(shortage.reason()).flow(flow);
     context.record(event.value(placement.offers.len() as u64));
     context.act(Action::Reset { flow, seq: 0 });
 }
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod recovery;
 pub mod registry;
+pub mod resumption;
 pub mod rumors;
 pub mod safeguard;
 pub mod view;
--- a/testutils/src/packets/checks.rs
+++ b/testutils/src/packets/checks.rs
@@ -1,10 +1,13 @@
 //! Invariants of flows, checked at callers and backend servers.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::version::member::Member;
 
 /// Time over which misrouted packets of an open flow are counted.
 const MISROUTE_WINDOW: Duration = Duration::from_secs(2);
@@ -12,12 +15,17 @@
 /// flow's own backend server meanwhile.
 const MISROUTE_LIMIT: usize = 3;
 
+/// Time after the order within which no flow opens any more in an evacuated failure domain.
+pub const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Collects violations found in the packets that backend servers and callers receive.
 #[derive(Debug, Default)]
 pub struct Checks {
     // Arrival times of packets of open flows at other backend servers, since the flow's
     // own backend server last received one.
     misrouted: HashMap<FlowKey, Vec<Moment>>,
+    // Evacuated failure domains, with the time of the order.
+    evacuated: BTreeMap<Name, Moment>,
     /// Descriptions of the violations, each with its time.
     pub violations: Vec<String>,
 }
@@ -28,6 +36,23 @@
         self.violations.push(format!("{:.3} s: {problem}", now.0 as f64 / 1e6));
     }
 
+    /// Records that exactly these failure domains are evacuated from now on.
+    pub fn record_orders(&mut self, domains: &[Name], now: Moment) {
+        self.evacuated.retain(|domain, _| domains.contains(domain));
+        for domain in domains {
+            self.evacuated.entry(domain.clone()).or_insert(now);
+        }
+    }
+
+    /// Checks that a flow may open at a backend server (EVAC).
+    pub fn check_evacuation(&mut self, flow: &FlowKey, member: &Member, now: Moment) {
+        let Some(since) = self.evacuated.get(&member.domain) else { return };
+        if now.since(*since) > EVACUATION_BOUND {
+            let Member { name, domain, .. } = member;
+            self.report(now, format!("{flow:?} was opened at {name} in evacuated {domain}"));
+        }
+    }
+
     /// Records that a packet of an open flow reached a backend server; `own` tells
     /// whether it is the one that holds the flow.
     pub fn record_delivery(&mut self, flow: FlowKey, own: bool, now: Moment) {
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -60,6 +60,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between reads of the store by one process.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Time of a read after a pause.
+const READ_DELAY: Duration = Duration::from_millis(20);
 /// Time after which a leaving backend server must get no new flows.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 /// Least time between the removal of a backend server and the reuse of its address.
@@ -104,6 +106,7 @@
 /// A copy of the entries that the store held at one time.
 pub struct StoreCopy {
     registered: BTreeMap<Name, registry::Entry>,
+    evacuated: Vec<Name>,
     number: u64,
 }
 
@@ -294,7 +297,8 @@
 
     /// Returns a copy of the entries that the store holds.
     pub fn copy_store(&self) -> StoreCopy {
-        StoreCopy { registered: self.registered.clone(), number: self.revision.number }
+        let evacuated = self.evacuations.domains().map(|(domain, _)| domain.clone()).collect();
+        StoreCopy { registered: self.registered.clone(), evacuated, number: self.revision.number }
     }
 
     /// Makes the store come back from a copy, which begins an epoch of its revisions.
@@ -304,6 +308,7 @@
         for entry in self.registered.values_mut() {
             entry.revision.epoch = self.revision.epoch;
         }
+        self.set_evacuated(copy.evacuated);
     }
 
     /// Registers a backend server as leaving: it gets no new flows and keeps its own.
@@ -325,8 +330,18 @@
     /// Orders the evacuation of exactly these failure domains.
     pub fn evacuate(&mut self, domains: &[&str]) {
         self.revision.number += 1;
+        self.set_evacuated(domains.iter().map(|domain| (*domain).into()).collect());
+    }
+
+    /// Returns the evacuations that the store holds.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        self.evacuations.clone()
+    }
+
+    fn set_evacuated(&mut self, domains: Vec<Name>) {
+        self.checks.record_orders(&domains, self.now);
         let at = self.revision;
-        let orders = domains.iter().map(|domain| ((*domain).into(), at));
+        let orders = domains.into_iter().map(|domain| (domain, at));
         self.evacuations = Arc::new(Evacuations::open(at, orders));
     }
 
@@ -478,6 +493,11 @@
     /// Reads the store for a process and passes it the new view.
     fn read_store(&mut self, link: SocketAddr) {
         let now = self.now;
+        let paused_until = self.node(link).map_or(Moment::default(), |n| n.paused_until);
+        if paused_until > now {
+            self.schedule(paused_until.since(now) + READ_DELAY, SimEvent::Read(link));
+            return;
+        }
         let entries = self.registered.values().cloned().collect();
         let listing = Listing { revision: self.revision, entries };
         let (routes, up) = (self.routes.clone(), self.store_up);
@@ -557,6 +577,7 @@
             let problem = format!("{:?} was opened at {}", segment.flow, member.service);
             self.checks.report(self.now, problem);
         }
+        self.checks.check_evacuation(&segment.flow, member, self.now);
         let late = |at: &Moment| self.now.since(*at) > DRAIN_BOUND;
         if self.leaving.get(&member.name).is_some_and(late) {
             let problem =
@@ -621,7 +642,13 @@
                 }
                 Action::Behind { peer, .. } => {
                     let listing = self.node(peer).map(|n| n.registry.listing());
+                    let evacuations = self.node(peer).map(|n| n.view.evacuations.clone());
                     let now = self.now;
+                    if let (Some(evacuations), Some(node)) = (evacuations, self.node(link))
+                        && evacuations.revision() > node.view.evacuations.revision()
+                    {
+                        node.view.evacuations = evacuations;
+                    }
                     if let (Some(listing), Some(node)) = (listing, self.node(link))
                         && node.store_lost.is_some()
                     {
