Prove flow tables complete after a loss of power, and resolve searches without another packet

Cause: after a loss of power of all VMs each agent counted its flow table as incomplete, as it could not prove that no earlier process of it had opened flows at its backend server. A few silent VMs whose entries were still listed then kept homes from probing.

Change: an agent collects evidence that its process is the first one beside the registered run: the start of both by the clock of their VM, that clock against those of other agents, and that none of them has heard of an earlier process. All must hold. It answers again what it was asked before. An agent that stops after its backend server has ended tells the others, which leave it out of their searches. A home resolves a flow as soon as no silent agent is left that may own it, with the last packet it has. The log line of a search without an outcome tells silent, unsure and unasked agents apart.

--- a/daemon/src/connection/packet/agent.rs
+++ b/daemon/src/connection/packet/agent.rs
@@ -75,6 +75,9 @@
         first_start: settings.first_start,
     };
     let mut agent = Agent::open(identity, clock.now());
+    let (started, at) = clock.started();
+    agent.track_start(started, at);
+    agent.update_clock(clock.wall(), clock.now());
     let caller_port = settings.callers.port();
     let mut executor = Executor {
         link,
@@ -134,6 +137,7 @@
             },
             _ = sleep_until(next_tick) => {
                 let now = clock.now();
+                agent.update_clock(clock.wall(), now);
                 agent.tick(now);
                 executor.decision_log.renew_budget(now);
                 metrics.add(agent.tally());
--- a/daemon/src/process/packet/decision_log.rs
+++ b/daemon/src/process/packet/decision_log.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use lagoonhollow_lib::connection::unresolved::SearchOutcome;
 use lagoonhollow_lib::front::packet::event::Decision;
 use lagoonhollow_lib::front::packet::event::Event;
 use lagoonhollow_lib::front::packet::message::KnownVersions;
@@ -41,6 +42,12 @@
         };
         let peer = event.peer.map_or_else(absent, |p| p.ip().to_string());
         let KnownVersions { routes, roster, evacuations } = known;
+        if let Some(SearchOutcome { silent, unsure, unasked }) = event.outcome {
+            spdlog::log!(level(event.decision), "{}", event.decision, kv: {
+                caller, service, reason, peer, silent, unsure, unasked, routes, roster:, evacuations:
+            });
+            return;
+        }
         spdlog::log!(level(event.decision), "{}", event.decision, kv: {
             caller, service, reason, peer, value = event.value, routes, roster:, evacuations:
         });
--- a/lib/src/connection/directory.rs
+++ b/lib/src/connection/directory.rs
@@ -55,6 +55,12 @@
         self.flows.iter().filter_map(move |(flow, r)| owner(r).map(|o| (*flow, o)))
     }
 
+    /// Returns whether the agent at `link` claimed a flow before `since`, and not again.
+    pub fn has_claim(&self, link: SocketAddr, since: Moment) -> bool {
+        let owns = |r: &Record| r.owners.all().iter().any(|o| o.link == link);
+        self.flows.values().any(|r| r.claimed < since && owns(r))
+    }
+
     /// Removes flows whose last claim is at least `max_age` old.
     pub fn expire(&mut self, max_age: Duration, now: Moment) {
         self.flows.retain(|_, r| now.since(r.claimed) < max_age);
--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -24,22 +24,28 @@
     pub roster: Arc<Roster>,
     /// Agents that were asked though the roster does not list them.
     pub others: BTreeSet<SocketAddr>,
+    /// Agents that the roster lists and that were not asked.
+    pub left_out: BTreeSet<SocketAddr>,
 }
 
 impl Scope {
-    /// Opens a scope of all agents in `agents`.
+    /// Opens a scope of all agents in `agents`; those in `left_out` are listed and not asked.
     pub fn open(
         services: BTreeSet<Name>,
         roster: Arc<Roster>,
         agents: &BTreeSet<SocketAddr>,
+        left_out: BTreeSet<SocketAddr>,
     ) -> Self {
-        let mut scope = Self { services, roster, others: BTreeSet::new() };
+        let mut scope = Self { services, roster, others: BTreeSet::new(), left_out };
         scope.others = agents.iter().filter(|l| !scope.covers(l)).copied().collect();
         scope
     }
 
     /// Returns whether the agent at `link` belongs to the scope.
     pub fn covers(&self, link: &SocketAddr) -> bool {
+        if self.left_out.contains(link) {
+            return false;
+        }
         let member = self.roster.on_vm(link.ip());
         member.is_some_and(|m| self.services.contains(&m.service)) || self.others.contains(link)
     }
@@ -179,16 +185,15 @@
 
     /// Ends the search without an owner.
     pub fn unresolve(self, now: Moment) -> Unresolved {
-        let (scope, packet, held, silent) = match self {
-            Self::Asking(Search { scope, packet, held, state, .. }) => {
-                let silent = state.waiting.into_iter().chain(state.unsure).collect();
-                (scope, packet, held, silent)
+        let (scope, entry, packet, mut held, silent, unsure) = match self {
+            Self::Asking(Search { scope, entry, packet, held, state, .. }) => {
+                (scope, entry, packet, held, state.waiting, state.unsure)
             }
-            Self::Probing(Search { scope, packet, held, state, .. }) => {
-                (scope, packet, held, state.waiting)
+            Self::Probing(Search { scope, entry, packet, held, state, .. }) => {
+                (scope, entry, packet, held, state.waiting, BTreeSet::new())
             }
         };
-        let segment = held.last().unwrap_or(&packet).segment;
-        Unresolved { segment, scope, silent, since: now }
+        let packet = held.pop().unwrap_or(packet);
+        Unresolved { packet, entry, scope, silent, unsure, since: now }
     }
 }
--- a/lib/src/connection/searches.rs
+++ b/lib/src/connection/searches.rs
@@ -87,10 +87,27 @@
     }
 
     /// Records a late answer that the agent at `link` does not own an unresolved flow;
-    /// returns whether no agent is left that was silent.
+    /// returns whether the flow is unresolved.
     pub fn rule_out(&mut self, flow: &FlowKey, link: SocketAddr) -> bool {
         let Some(unresolved) = self.unresolved.get_mut(flow) else { return false };
-        unresolved.silent.remove(&link) && unresolved.silent.is_empty()
+        unresolved.silent.remove(&link) | unresolved.unsure.remove(&link)
+    }
+
+    /// Records a late answer that the agent at `link` can't tell; returns whether the flow is
+    /// unresolved.
+    pub fn unsure(&mut self, flow: &FlowKey, link: SocketAddr) -> bool {
+        let Some(unresolved) = self.unresolved.get_mut(flow) else { return false };
+        unresolved.silent.remove(&link) && unresolved.unsure.insert(link)
+    }
+
+    /// Returns the outcome of the last search for a flow, if it was unresolved.
+    pub fn unresolved_flow(&self, flow: &FlowKey) -> Option<&Unresolved> {
+        self.unresolved.get(flow)
+    }
+
+    /// Returns whether a search for a flow is in progress.
+    pub fn is_searched(&self, flow: &FlowKey) -> bool {
+        self.flows.contains_key(flow)
     }
 
     /// Returns the unresolved flows.
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -18,10 +18,14 @@
 use super::message::KnownVersions;
 use super::message::Message;
 use super::placer::Placer;
+use super::run_evidence::RunEvidence;
+use super::unsure_answers::Question;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Owner;
 use crate::connection::placement::Placement;
 use crate::connection::segment::Packet;
+use crate::process::ended_runs::EndedRun;
+use crate::process::first_run::FirstRun;
 use crate::process::liveness::KeepAlive;
 use crate::process::neighbours::Neighbour;
 use crate::process::neighbours::heartbeat_interval;
@@ -31,6 +35,7 @@
 use crate::value::name::Name;
 use crate::value::reason::Reason;
 use crate::value::tally::Tally;
+use crate::value::wall_time::WallTime;
 
 /// Time between two removals of expired state.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
@@ -52,6 +57,8 @@
     backend: LocalBackend,
     home: Home,
     placer: Placer,
+    evidence: RunEvidence,
+    settled: bool,
     detector: PauseDetector,
     pauses: u64,
     hello_sent: bool,
@@ -71,6 +78,8 @@
             backend: LocalBackend::open(complete, now),
             home: Home::default(),
             placer: Placer::open(run.0),
+            evidence: RunEvidence::default(),
+            settled: false,
             detector: PauseDetector::open(now),
             pauses: 0,
             hello_sent: false,
@@ -82,6 +91,17 @@
         }
     }
 
+    /// Tells what the clock of the VM showed at the very start of this process, at the
+    /// steady time `at`. Without that no flow table is proved complete by it.
+    pub fn track_start(&mut self, started: WallTime, at: Moment) {
+        self.evidence.first_run = Some(FirstRun::open(self.context.me.run, started, at));
+    }
+
+    /// Tells what the clock of the VM shows, before each [`Self::tick`].
+    pub fn update_clock(&mut self, wall: WallTime, now: Moment) {
+        self.evidence.update_clock(wall, now);
+    }
+
     /// Applies the routes and the roster that the process knows now.
     pub fn update_view(&mut self, view: View, now: Moment) {
         let before = std::mem::replace(&mut self.context.view, view);
@@ -100,6 +120,7 @@
                 self.context.send(link, Message::Hello);
             }
         }
+        self.follow_runs(now);
     }
 
     /// Returns the versions that every message carries.
@@ -224,12 +245,14 @@
             }
         }
         self.placer.tick(&mut self.context, &mut self.backend, now);
-        self.home.tick(&mut self.context, &self.backend, &self.placer.neighbours, now);
+        self.home.tick(&mut self.context, &mut self.backend, &self.placer.neighbours, now);
+        self.follow_runs(now);
         if now.since(self.expired_at) >= EXPIRE_INTERVAL {
             self.expired_at = now;
             self.backend.expire(&mut self.context, now);
             self.home.expire(now);
             self.placer.neighbours.expire(now);
+            self.evidence.known.expire(now);
             self.review_absences(now);
         }
         let service = self.backend.service(&self.context).clone();
@@ -289,6 +312,7 @@
                 }
             }
             Message::Heartbeat { run, service, load, accepting } => {
+                self.evidence.known.heard(from, run, now);
                 let neighbour = Neighbour { run, service, load, accepting, heard: now, charged: 0 };
                 self.placer.neighbours.heard(from, neighbour);
             }
@@ -297,7 +321,34 @@
                 self.context.send(from, Message::VersionReply { age_ms: None });
             }
             Message::VersionReply { .. } => {}
-            Message::Owned { flows } => self.backend.recover(&mut self.context, &flows, now),
+            Message::RunQuery { run, token, age_ms } => {
+                let started = now - Duration::from_millis(age_ms.into());
+                let earlier = self.evidence.known.heard(from, run, now)
+                    || self.home.knew_owner(from, started)
+                    || self.backend.had_placer(from, started);
+                if let Some(wall) = self.evidence.wall(now) {
+                    self.context.send(from, Message::RunReply { token, wall, earlier });
+                }
+            }
+            Message::RunReply { token, wall, earlier } => {
+                if let Some(first_run) = &mut self.evidence.first_run {
+                    first_run.replied(from, token, wall, earlier, now);
+                }
+                self.follow_runs(now);
+            }
+            Message::Ended { run, name, born } => {
+                let ended = EndedRun { agent: run, name, born };
+                if self.placer.neighbours.end(from, ended, now) {
+                    self.context.record(Event::of(Decision::RunEnded).peer(from).value(born));
+                    self.review_absences(now);
+                }
+            }
+            Message::Owned { flows } => {
+                if flows.iter().any(|(f, _)| self.backend.served().get(f).is_none()) {
+                    self.evidence.refute();
+                }
+                self.backend.recover(&mut self.context, &flows, now);
+            }
             _ => self.context.tally.add(Reason::Malformed),
         }
     }
@@ -402,7 +453,10 @@
                 }
             }
             Err(NotServed::Absent) => self.context.send(home, Message::NotHere { flow }),
-            Err(NotServed::Unknown) => self.context.send(home, Message::Unsure { flow }),
+            Err(NotServed::Unknown) => {
+                self.evidence.unsure.add(Question { home, flow, ack }, now);
+                self.context.send(home, Message::Unsure { flow });
+            }
         }
     }
 
@@ -427,7 +481,11 @@
             Err(NotServed::Unknown) if probe => {
                 self.backend.probe(&mut self.context, &packet, entry, Some(home), now);
             }
-            Err(NotServed::Unknown) => self.context.send(home, Message::Unsure { flow }),
+            Err(NotServed::Unknown) => {
+                let ack = packet.segment.flags.acks.then_some(packet.segment.ack);
+                self.evidence.unsure.add(Question { home, flow, ack }, now);
+                self.context.send(home, Message::Unsure { flow });
+            }
         }
     }
 
@@ -483,10 +541,27 @@
         home.locate(&mut self.context, backend, &self.placer.neighbours, entry, packet, now);
     }
 
-    /// Resets the flows that no agent is left to own.
+    /// Resolves the flows that no silent agent is left to own.
     fn review_absences(&mut self, now: Moment) {
         let neighbours = &self.placer.neighbours;
-        self.home.review_absences(&mut self.context, &self.backend, neighbours, now);
+        self.home.review_absences(&mut self.context, &mut self.backend, neighbours, now);
+    }
+
+    /// Follows what is known about runs. Once the flow table is complete, or the agents that
+    /// started with this one are known, what waits for that is resolved.
+    fn follow_runs(&mut self, now: Moment) {
+        let completed = self.evidence.follow(&mut self.context, &mut self.backend, now);
+        if completed {
+            let questions: Vec<_> = self.evidence.unsure.take(now).collect();
+            for Question { home, flow, ack } in questions {
+                self.handle_ask(home, flow, ack, now);
+            }
+        }
+        let settled = self.context.is_settled(now);
+        let before = std::mem::replace(&mut self.settled, settled);
+        if completed || settled && !before {
+            self.review_absences(now);
+        }
     }
 
     /// Tells an entry that this agent owns the flow.
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -156,6 +156,30 @@
         self.liveness.refused(now)
     }
 
+    /// Returns the registered run.
+    pub fn member(&self) -> Option<&Arc<Member>> {
+        self.member.as_ref()
+    }
+
+    /// Records proof that the flow table has every flow of the registered run.
+    pub fn prove_complete(&mut self) {
+        self.complete = true;
+    }
+
+    /// Returns whether the run `last`, the last one that was registered, has ended: the
+    /// address refuses packets, or the entry is gone and the keep-alive connection closed.
+    pub fn has_ended(&self, last: &Member, now: Moment) -> bool {
+        let gone = self.member.as_ref().is_none_or(|m| !m.same_run(last));
+        let gone = gone && now.since(self.last_heard) >= DEAD_AFTER;
+        let dead = self.liveness.condition() == Condition::Dead;
+        self.keep_alive != KeepAlive::Open && (dead || gone)
+    }
+
+    /// Returns whether the agent stops.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Records that the backend server is dead, and with it all its flows.
     pub fn bury(&mut self) {
         self.complete = true;
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use crate::connection::flow::FlowKey;
+use crate::connection::unresolved::SearchOutcome;
 use crate::value::reason::Reason;
 
 /// What was decided.
@@ -47,6 +48,10 @@
     Registered,
     /// Flows of an earlier run were recovered from another agent.
     Recovered,
+    /// The flow table was proved to have every flow of the backend server's run.
+    Complete,
+    /// The run of another agent's backend server has ended, as that agent said.
+    RunEnded,
 }
 
 /// A decision with the facts that it was based on.
@@ -63,12 +68,14 @@
     /// A number that it was based on: microseconds, a count, a version or, for
     /// [`Decision::Opened`], a sequence number.
     pub value: u64,
+    /// For a search that found no owner, how the agents stand that have not ruled it out.
+    pub outcome: Option<SearchOutcome>,
 }
 
 impl Event {
     /// Creates an event about a decision.
     pub fn of(decision: Decision) -> Self {
-        Self { decision, reason: None, flow: None, peer: None, value: 0 }
+        Self { decision, reason: None, flow: None, peer: None, value: 0, outcome: None }
     }
 
     /// Adds the reason.
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -51,6 +51,11 @@
         self.directory.owners(flow)?.latest()
     }
 
+    /// Returns whether the agent at `link` claimed a flow before `since`, and not again.
+    pub fn knew_owner(&self, link: SocketAddr, since: Moment) -> bool {
+        self.directory.has_claim(link, since)
+    }
+
     /// Returns whether searches are in progress.
     pub fn has_pending(&self) -> bool {
         !self.searches.is_empty()
@@ -134,7 +139,7 @@
             search.not_owner(link);
             self.proceed(context, backend, neighbours, flow, now);
         } else if self.searches.rule_out(flow, link) {
-            self.review_absences(context, backend, neighbours, now);
+            self.review_flow(context, backend, neighbours, flow, now);
         }
     }
 
@@ -151,16 +156,19 @@
         if let Some(search) = self.searches.get_mut(flow) {
             search.unsure(link);
             self.proceed(context, backend, neighbours, flow, now);
+        } else if self.searches.unsure(flow, link) {
+            self.review_flow(context, backend, neighbours, flow, now);
         }
     }
 
-    /// Resets unresolved flows that no agent is left to own, after a change of the roster:
-    /// a caller that waits for a lost flow learns it at once. Answers the load after a loss
-    /// of many VMs, when every lost flow is searched for and few agents can't answer.
+    /// Resolves unresolved flows that no silent agent is left to own, after a change of the
+    /// roster: they are reset, or their searches go on, without another packet of the caller.
+    /// Answers the load after a loss of many VMs, when every lost flow is searched for and few
+    /// agents can't answer.
     pub fn review_absences(
         &mut self,
         context: &mut AgentContext,
-        backend: &LocalBackend,
+        backend: &mut LocalBackend,
         neighbours: &Neighbours,
         now: Moment,
     ) {
@@ -168,22 +176,71 @@
             return;
         }
         let mut agents: BTreeMap<BTreeSet<Name>, BTreeSet<SocketAddr>> = BTreeMap::new();
-        let mut absent = Vec::new();
+        let mut due = Vec::new();
         for (flow, unresolved) in self.searches.unresolved() {
             let services = candidate_services(context, backend, flow);
             let candidates = agents
-                .entry(services)
+                .entry(services.clone())
                 .or_insert_with_key(|s| candidates(context, backend, neighbours, s, now));
-            let still_silent = unresolved.silent.iter().any(|l| candidates.contains(l));
-            if !still_silent && reset_if_absent(context, backend, unresolved, candidates) {
-                absent.push(*flow);
+            if !unresolved.is_blocked(candidates) {
+                due.push((*flow, services));
             }
         }
-        for flow in absent {
-            self.searches.end(&flow);
+        for (flow, services) in due {
+            let candidates = &agents[&services];
+            self.resolve(context, backend, neighbours, &flow, candidates, now);
         }
     }
 
+    /// Resolves one unresolved flow if no silent agent is left to own it.
+    fn review_flow(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        flow: &FlowKey,
+        now: Moment,
+    ) {
+        if context.is_settled(now) {
+            let services = candidate_services(context, backend, flow);
+            let candidates = candidates(context, backend, neighbours, &services, now);
+            self.resolve(context, backend, neighbours, flow, &candidates, now);
+        }
+    }
+
+    /// Resets an unresolved flow that none of `candidates` is left to own. If only agents are
+    /// left that were unsure or not asked, the search goes on with the last packet.
+    fn resolve(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        flow: &FlowKey,
+        candidates: &BTreeSet<SocketAddr>,
+        now: Moment,
+    ) {
+        let Some(unresolved) = self.searches.unresolved_flow(flow) else { return };
+        if unresolved.is_blocked(candidates) {
+            return;
+        }
+        if reset_if_absent(context, backend, unresolved, candidates) {
+            self.searches.end(flow);
+            return;
+        }
+        let services = candidate_services(context, backend, flow);
+        let same = services == unresolved.scope.services && !services.is_empty();
+        if !same || self.searches.is_searched(flow) || !self.searches.has_room() {
+            return;
+        }
+        let remaining = unresolved.remaining(candidates);
+        let (unsure, waiting) = remaining.into_iter().partition(|l| unresolved.unsure.contains(l));
+        let asking = Asking { carried: false, waiting, unsure };
+        let (entry, packet) = (unresolved.entry, unresolved.packet.clone());
+        let scope = scope(context, neighbours, services, candidates);
+        let search = Search::open(scope, entry, packet, asking, now);
+        self.ask(context, backend, neighbours, search, now);
+    }
+
     /// Returns messages that list the flows which the agent at `link` owned.
     pub fn owned_by(&self, link: SocketAddr) -> Vec<Message> {
         let flows: Vec<_> = self.directory.owned_by(link).map(|(f, o)| (f, o.isn)).collect();
@@ -195,12 +252,13 @@
     pub fn tick(
         &mut self,
         context: &mut AgentContext,
-        backend: &LocalBackend,
+        backend: &mut LocalBackend,
         neighbours: &Neighbours,
         now: Moment,
     ) {
         for (flow, search) in self.searches.expire(now) {
             self.conclude(context, backend, neighbours, flow, search, now);
+            self.review_flow(context, backend, neighbours, &flow, now);
         }
     }
 
@@ -228,27 +286,42 @@
         let candidates = candidates(context, backend, neighbours, &services, now);
         let outcome = self.searches.outcome(&packet.segment);
         let outcome = outcome.filter(|u| u.scope.services == services);
-        let scope = Scope::open(services, context.view.roster.clone(), &candidates);
+        let scope = scope(context, neighbours, services, &candidates);
         // The packet goes only to the few that did not answer a short question.
         let carried = outcome.is_some();
-        let mut waiting = match outcome {
+        let waiting = match outcome {
             Some(unresolved) => unresolved.remaining(&candidates),
             None => candidates,
         };
+        let asking = Asking { carried, waiting, unsure: BTreeSet::new() };
+        let search = Search::open(scope, entry, packet, asking, now);
+        self.ask(context, backend, neighbours, search, now);
+    }
+
+    /// Starts a search by asking the agents that it waits for.
+    fn ask(
+        &mut self,
+        context: &mut AgentContext,
+        backend: &mut LocalBackend,
+        neighbours: &Neighbours,
+        mut search: Search<Asking>,
+        now: Moment,
+    ) {
         // This agent is a candidate only if it can't tell without a probe.
-        let own = waiting.take(&context.me.link);
+        search.state.unsure.extend(search.state.waiting.take(&context.me.link));
+        let (entry, packet) = (search.entry, &search.packet);
+        let flow = packet.segment.flow;
         let event = Event::of(Decision::Searched).flow(flow).peer(entry);
-        context.record(event.value(waiting.len() as u64));
+        context.record(event.value(search.state.waiting.len() as u64));
         let ack = packet.segment.flags.acks.then_some(packet.segment.ack);
-        for link in &waiting {
-            if carried {
-                context.send_packet(*link, Message::Search { entry, probe: false }, &packet);
+        for link in &search.state.waiting {
+            if search.state.carried {
+                context.send_packet(*link, Message::Search { entry, probe: false }, packet);
             } else {
                 context.send(*link, Message::Ask { flow, ack });
             }
         }
-        let asking = Asking { carried, waiting, unsure: own.into_iter().collect() };
-        self.searches.start(flow, Search::open(scope, entry, packet, asking, now));
+        self.searches.start(flow, search);
         self.proceed(context, backend, neighbours, &flow, now);
     }
 
@@ -310,11 +383,10 @@
             return;
         }
         let event = Event::of(Decision::Dropped).reason(Reason::OwnerUnknown).flow(flow);
-        let event = event.value(unresolved.silent.len() as u64);
-        context.record(match unresolved.silent.first() {
-            Some(silent) => event.peer(*silent),
-            None => event,
-        });
+        let open = unresolved.silent.len() + unresolved.unsure.len();
+        let outcome = Some(unresolved.outcome(&candidates));
+        let peer = unresolved.silent.first().or(unresolved.unsure.first()).copied();
+        context.record(Event { peer, outcome, ..event.value(open as u64) });
         self.searches.unresolve(flow, unresolved);
     }
 }
@@ -333,6 +405,7 @@
         agents.extend(context.peers(service));
         agents.extend(neighbours.reachable(service, now));
     }
+    agents.retain(|l| !has_ended(context, neighbours, *l));
     agents.remove(&context.me.link);
     if !backend.is_complete() {
         agents.insert(context.me.link);
@@ -340,6 +413,24 @@
     agents
 }
 
+/// Returns whom a search among `candidates` concerns. Agents whose backend servers have ended
+/// are listed and not asked, and a later run at their addresses is.
+fn scope(
+    context: &AgentContext,
+    neighbours: &Neighbours,
+    services: BTreeSet<Name>,
+    candidates: &BTreeSet<SocketAddr>,
+) -> Scope {
+    let listed = services.iter().flat_map(|s| context.peers(s));
+    let ended = listed.filter(|l| has_ended(context, neighbours, *l)).collect();
+    Scope::open(services, context.view.roster.clone(), candidates, ended)
+}
+
+/// Returns whether the backend server of the agent at `link` has ended, as that agent said.
+fn has_ended(context: &AgentContext, neighbours: &Neighbours, link: SocketAddr) -> bool {
+    neighbours.has_ended(link, context.view.roster.on_vm(link.ip()).map(|m| &**m))
+}
+
 /// Returns the services whose backend servers may own a flow.
 fn candidate_services(
     context: &AgentContext,
@@ -354,7 +445,8 @@
 
 /// Returns whether an agent is registered or was heard from recently.
 fn is_reachable(context: &AgentContext, neighbours: &Neighbours, link: SocketAddr) -> bool {
-    context.view.roster.on_vm(link.ip()).is_some() || neighbours.get(link).is_some()
+    let known = context.view.roster.on_vm(link.ip()).is_some() || neighbours.get(link).is_some();
+    known && !has_ended(context, neighbours, link)
 }
 
 /// Forwards a packet to the owner of its flow, and tells the entry about the owner.
@@ -372,7 +464,7 @@
     unresolved: &Unresolved,
     candidates: &BTreeSet<SocketAddr>,
 ) -> bool {
-    let segment = &unresolved.segment;
+    let segment = &unresolved.packet.segment;
     let services = candidate_services(context, backend, &segment.flow);
     if services.is_empty()
         || services != unresolved.scope.services
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -92,6 +92,25 @@
         route.and_then(|r| r.service(flow.hash())) == Some(self.service(context))
     }
 
+    /// Returns the registration and condition of the backend server.
+    pub fn health(&self) -> &BackendHealth {
+        &self.health
+    }
+
+    /// Returns whether the agent at `link` placed a flow before `since` that is still opening.
+    pub fn had_placer(&self, link: SocketAddr, since: Moment) -> bool {
+        let placed = |s: &ServedFlow| match s {
+            ServedFlow::Opening(f) => f.placer == Some(link) && f.state.offered < since,
+            _ => false,
+        };
+        self.served.iter().any(|(_, served)| placed(served))
+    }
+
+    /// Records proof that the table has every flow of the registered run.
+    pub fn prove_complete(&mut self) {
+        self.health.prove_complete();
+    }
+
     /// Returns whether the backend server has answered the flow's opening packet.
     pub fn has_answered(&self, flow: &FlowKey) -> bool {
         self.served.get(flow).is_some_and(ServedFlow::is_answered)
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -12,6 +12,7 @@
 use crate::request::load_meter::Load;
 use crate::value::incarnation::Incarnation;
 use crate::value::name::Name;
+use crate::value::wall_time::WallTime;
 use crate::version::revision::Revision;
 
 /// The versions that a process knows; every message carries them.
@@ -160,6 +161,34 @@
         /// Acknowledgement number of the caller's packet, if it has one.
         ack: Option<u32>,
     },
+    /// A process that started together with its backend server asks whether the receiver
+    /// has heard of an earlier process of the sender.
+    RunQuery {
+        /// The sender's run.
+        run: Incarnation,
+        /// Token of the question, which the reply returns.
+        token: u32,
+        /// Time in milliseconds since the sender started, by its steady clock.
+        age_ms: u32,
+    },
+    /// Answers [`Message::RunQuery`].
+    RunReply {
+        /// Token of the question.
+        token: u32,
+        /// The sender's time of day.
+        wall: WallTime,
+        /// Whether it has heard of an earlier process.
+        earlier: bool,
+    },
+    /// The sender stops, and its backend server's run has ended.
+    Ended {
+        /// The sender's run.
+        run: Incarnation,
+        /// Name of the backend server.
+        name: Name,
+        /// Start of its run in Unix milliseconds.
+        born: u64,
+    },
 }
 
 impl Message {
--- a/lib/src/front/packet/mod.rs
+++ b/lib/src/front/packet/mod.rs
@@ -19,4 +19,6 @@
 pub mod message;
 pub mod placer;
 pub mod probes;
+pub mod run_evidence;
+pub mod unsure_answers;
 pub mod waiting;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,11 +3,14 @@
 pub mod action;
 pub mod agent;
 pub mod context;
+pub mod ended_runs;
+pub mod first_run;
 pub mod flow_location;
 pub mod gauges;
 pub mod gossip;
 pub mod health;
 pub mod heartbeat;
+pub mod known_runs;
 pub mod lifecycle;
 pub mod live_vms;
 pub mod liveness;
--- a/lib/src/process/neighbours.rs
+++ b/lib/src/process/neighbours.rs
@@ -4,10 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::ended_runs::EndedRun;
+use super::ended_runs::EndedRuns;
 use crate::request::load_meter::Load;
 use crate::value::incarnation::Incarnation;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
+use crate::version::member::Member;
 
 /// Time for which an agent that missed an offer is skipped.
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
@@ -45,6 +48,7 @@
     suspects: HashMap<SocketAddr, Moment>,
     // Flows placed at agents that have not reported.
     unheard: HashMap<SocketAddr, u32>,
+    ended: EndedRuns,
 }
 
 impl Neighbours {
@@ -53,6 +57,7 @@
         self.suspects.remove(&link);
         self.unheard.remove(&link);
         let run = neighbour.run;
+        self.ended.heard(link, run);
         let old = self.by_link.insert(link, neighbour);
         old.is_none_or(|o| o.run != run)
     }
@@ -65,6 +70,22 @@
         }
     }
 
+    /// Records that an agent stops and that its backend server's run has ended; returns
+    /// whether that is the last process known there.
+    pub fn end(&mut self, link: SocketAddr, ended: EndedRun, now: Moment) -> bool {
+        let last = self.by_link.get(&link).is_none_or(|n| n.run == ended.agent);
+        if last {
+            self.ended.add(link, ended, now);
+        }
+        last
+    }
+
+    /// Returns whether the backend server of the agent at `link` has ended, so that it has no
+    /// flows; `member` is the one that the roster lists there.
+    pub fn has_ended(&self, link: SocketAddr, member: Option<&Member>) -> bool {
+        self.ended.covers(link, member)
+    }
+
     /// Updates the load of an agent.
     pub fn update_load(&mut self, link: SocketAddr, load: Load) {
         if let Some(neighbour) = self.by_link.get_mut(&link) {
@@ -113,6 +134,7 @@
         self.by_link.retain(|_, n| now.since(n.heard) < NEIGHBOUR_TIMEOUT);
         self.suspects.retain(|_, until| *until > now);
         self.unheard.clear();
+        self.ended.expire(now);
     }
 }
 
--- a/lib/src/value/mod.rs
+++ b/lib/src/value/mod.rs
@@ -6,3 +6,4 @@
 pub mod name;
 pub mod reason;
 pub mod tally;
+pub mod wall_time;
--- a/testutils/src/packets/mod.rs
+++ b/testutils/src/packets/mod.rs
@@ -9,6 +9,7 @@
 pub mod narrow_link;
 pub mod node;
 pub mod odd_entries;
+pub mod power;
 pub mod site;
 pub mod store;
 pub mod tcp_proxy;
--- a/testutils/src/packets/node.rs
+++ b/testutils/src/packets/node.rs
@@ -12,6 +12,7 @@
 use lagoonhollow_lib::process::registry::Registry;
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::wall_time::WallTime;
 
 /// A process of the load balancer.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub store_lost: Option<Moment>,
     /// View that the process last got.
     pub view: View,
+    /// How far the clock of the VM is ahead of the virtual time, in milliseconds.
+    pub ahead_ms: i64,
     /// Least interval between reads of the store, for a process that learns of changes late.
     pub read_delay: Duration,
 }
@@ -57,6 +60,7 @@
             registry: Registry::default(),
             store_lost: None,
             view: View::default(),
+            ahead_ms: 0,
             read_delay: Duration::ZERO,
         }
     }
@@ -107,7 +111,10 @@
     pub fn tick(&mut self, now: Moment) {
         match &mut self.process {
             Some(Process::Entry(entry)) => entry.tick(now),
-            Some(Process::Agent(agent)) => agent.tick(now),
+            Some(Process::Agent(agent)) => {
+                agent.update_clock(WallTime::at(now, self.ahead_ms), now);
+                agent.tick(now);
+            }
             None => {}
         }
     }
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -29,6 +29,7 @@
 use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::name::Name;
+use lagoonhollow_lib::value::wall_time::WallTime;
 use lagoonhollow_lib::version::evacuations::Evacuations;
 use lagoonhollow_lib::version::member::Member;
 use lagoonhollow_lib::version::member::MemberState;
@@ -51,6 +52,7 @@
 use super::checks::Checks;
 use super::node::Node;
 use super::node::Process;
+use super::power::LostFlow;
 
 /// Port of processes for datagrams between them.
 const LINK_PORT: u16 = 7_000;
@@ -127,6 +129,8 @@
     pub store_up: bool,
     /// Whether a stopped backend server's refusal of a packet reaches its agent.
     pub refusals: bool,
+    /// Flows that were lost with their backend servers when the power went.
+    pub lost: BTreeMap<FlowKey, LostFlow>,
     /// Recorded events, with their time and the process.
     pub events: Vec<(Moment, SocketAddr, Event)>,
     rng: Pcg64Mcg,
@@ -171,6 +175,7 @@
             loss: 0.0,
             store_up: true,
             refusals: true,
+            lost: BTreeMap::new(),
             events: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             queue: BinaryHeap::new(),
@@ -241,7 +246,10 @@
             entry_ttl: ENTRY_TTL,
             first_start,
         };
-        let agent = Agent::open(me, self.now);
+        let mut agent = Agent::open(me, self.now);
+        let wall = WallTime::at(self.now, self.agents[i].ahead_ms);
+        agent.track_start(wall, self.now);
+        agent.update_clock(wall, self.now);
         self.agents[i].process = Some(Process::Agent(Box::new(agent)));
         self.schedule_process(self.agents[i].link);
     }
@@ -253,7 +261,8 @@
 
     /// Kills the agent of a backend server.
     pub fn kill_agent(&mut self, i: usize) {
-        self.agents[i] = Node::open(self.agents[i].link);
+        let ahead_ms = self.agents[i].ahead_ms;
+        self.agents[i] = Node { ahead_ms, ..Node::open(self.agents[i].link) };
     }
 
     /// Crashes a backend server. Its registry entry stays until [`Self::deregister`].
@@ -267,7 +276,7 @@
         self.deregister(i);
         let mut member = self.backends[i].member.clone();
         member.name = format!("{}-{}", member.name, self.now.0).into();
-        member.born = self.now.0 / 1_000;
+        member.born = WallTime::at(self.now, self.agents[i].ahead_ms).0;
         member.standing = MemberState::Ready;
         if let Some(service) = service {
             member.service = service.into();
@@ -410,6 +419,11 @@
             SimEvent::ToCaller(segment) => self.deliver_to_caller(segment),
             SimEvent::ToEntry(i, packet) => {
                 let now = self.now;
+                // An entry that knows no route yet drops the packet.
+                let ready = self.entries[i].view.routes.version() > 0;
+                if let Some(lost) = self.lost.get_mut(&packet.segment.flow).filter(|_| ready) {
+                    lost.record_packet(now);
+                }
                 if let Some(entry) = self.entries[i].entry() {
                     entry.handle_packet(packet, now);
                 }
@@ -523,6 +537,9 @@
     fn deliver_to_caller(&mut self, segment: Segment) {
         let now = self.now;
         let holder = self.holder(&segment.flow);
+        if let Some(lost) = self.lost.get_mut(&segment.flow).filter(|_| segment.flags.aborts) {
+            lost.record_reset(now);
+        }
         let Some(caller) = self.calls.get_mut(&segment.flow) else { return };
         if segment.flags.aborts && caller.is_open() && holder.is_some() {
             let flow = segment.flow;
