--- a/lib/src/front/packet/mod.rs
+++ b/lib/src/front/packet/mod.rs
@@ -20,5 +20,7 @@
 pub mod message;
 pub mod placer;
 pub mod probes;
+pub mod run_evidence;
 pub mod shortage;
+pub mod unsure_answers;
 pub mod waiting;
--- a/testutils/src/packets/node.rs
+++ b/testutils/src/packets/node.rs
@@ -12,6 +12,7 @@
 use lagoonhollow_lib::process::registry::Registry;
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::wall_time::WallTime;
 use lagoonhollow_lib::version::run::Run;
 
 /// A process of the load balancer.
@@ -42,6 +43,8 @@
     pub store_lost: Option<Moment>,
     /// View that the process last got.
     pub view: View,
+    /// How far the clock of the VM is ahead of the virtual time, in milliseconds.
+    pub ahead_ms: i64,
     /// Least interval between reads of the store, for a process that learns of changes late.
     pub read_delay: Duration,
     /// Run of the backend server that accepted the agent's keep-alive connection.
@@ -60,6 +63,7 @@
             registry: Registry::default(),
             store_lost: None,
             view: View::default(),
+            ahead_ms: 0,
             read_delay: Duration::ZERO,
             connected_to: None,
         }
@@ -111,7 +115,10 @@
     pub fn tick(&mut self, now: Moment) {
         match &mut self.process {
             Some(Process::Entry(entry)) => entry.tick(now),
-            Some(Process::Agent(agent)) => agent.tick(now),
+            Some(Process::Agent(agent)) => {
+                agent.update_clock(WallTime::at(now, self.ahead_ms), now);
+                agent.tick(now);
+            }
             None => {}
         }
     }
