Limit the opening packets that a cold backend server gets

A backend server that joins or returns cold looks idle to all homes at once, so it got a burst. Its agent, through which all opening packets pass, now counts them in a sliding window (request/warm_up.rs) while the backend server is cold (request/cold_period.rs): from the sight that a run began or may have begun, for the period of its service, and for what its registry entry states. A stall does not open the window, and a restarted agent takes it for used up. Beyond the limit the agent declines with Cold, homes choose others early by Load::openings, and if no other can take the flow, the home offers it again after the shortest stated time, as long as its caller waits; else it refuses with reason cold. Settings [backend] warmup_overage and warmup_slack; without them there is no limit.

--- a/daemon/src/connection/packet/agent.rs
+++ b/daemon/src/connection/packet/agent.rs
@@ -73,6 +73,7 @@
         reuse_delay: role.reuse_delay,
         entry_ttl: role.entry_ttl,
         first_start: settings.first_start,
+        allowance: role.allowance,
     };
     let mut agent = Agent::open(identity, clock.now());
     let caller_port = settings.callers.port();
--- a/daemon/src/process/packet/settings.rs
+++ b/daemon/src/process/packet/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lagoonhollow_lib::request::warm_up::Allowance;
 use lagoonhollow_lib::value::findings::Findings;
 use lagoonhollow_lib::value::name::Name;
 
@@ -14,7 +15,7 @@
 use crate::process::settings_reader::parse_value;
 
 /// Sections and keys that a settings file may have.
-const KEYS: [(&str, &str); 20] = [
+const KEYS: [(&str, &str); 22] = [
     ("process", "front"),
     ("process", "role"),
     ("process", "name"),
@@ -32,6 +33,8 @@
     ("backend", "service"),
     ("backend", "reuse_seconds"),
     ("backend", "heartbeat_ms"),
+    ("backend", "warmup_overage"),
+    ("backend", "warmup_slack"),
     ("fleet", "store"),
     ("fleet", "peers"),
     ("fleet", "drain_limit_ms"),
@@ -46,9 +49,11 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// Maximum of a duration in milliseconds.
 const MAX_MS: u64 = 3_600_000;
+/// Maximum of a setting that scales or extends a rate in requests a second.
+const MAX_FACTOR: f64 = 1_000.0;
 
 /// Role of a process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Role {
     /// Receives callers' packets from the fabric.
     Entry,
@@ -57,7 +62,7 @@
 }
 
 /// Settings that only an agent has.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentRole {
     /// Address on which the backend server receives packets.
     pub backend: SocketAddr,
@@ -71,10 +76,13 @@
     /// Time without heartbeats after which a backend server's entry is removed from
     /// the store and the removal has been read.
     pub entry_ttl: Duration,
+    /// How far the backend server may be used beyond the warm-up rate of its service while it
+    /// is cold; without it there is no limit.
+    pub allowance: Option<Allowance>,
 }
 
 /// Checked settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PacketSettings {
     /// Role of the process.
     pub role: Role,
@@ -169,6 +177,10 @@
     text.parse().ok().filter(|n| *n <= MAX_MS).map(Duration::from_millis)
 }
 
+fn factor(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|n| (0.0..=MAX_FACTOR).contains(n))
+}
+
 fn limit_millis(text: &str) -> Option<Duration> {
     millis(text).filter(|limit| *limit >= Duration::from_secs(1))
 }
@@ -186,12 +198,20 @@
             let outbound = reader.required("address", "outbound", ADDRESS, parse_value);
             let reuse_delay = reader.required("backend", "reuse_seconds", SECONDS, seconds);
             let heartbeat = reader.required("backend", "heartbeat_ms", MILLIS, millis);
+            const FACTOR: &str = "a number from 0 to 1000";
+            let overage = reader.optional("backend", "warmup_overage", FACTOR, factor);
+            let slack = reader.optional("backend", "warmup_slack", FACTOR, factor);
+            let allowance = (overage.is_some() || slack.is_some()).then(|| Allowance {
+                overage: overage.unwrap_or(1.0),
+                slack: slack.unwrap_or(0.0),
+            });
             Some(Role::Agent(AgentRole {
                 backend: backend?,
                 service: service?,
                 outbound: outbound?,
                 reuse_delay: reuse_delay?,
                 entry_ttl: heartbeat? * MISSED_HEARTBEATS + REMOVAL_SLACK,
+                allowance,
             }))
         }
     }
--- a/lib/benches/speed/packets.rs
+++ b/lib/benches/speed/packets.rs
@@ -126,6 +126,7 @@
         reuse_delay: Duration::from_secs(2),
         entry_ttl: Duration::from_secs(4),
         first_start: true,
+        allowance: None,
     };
     let mut agent = Agent::open(me, START);
     agent.update_view(view(backends), START);
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod channel_manager;
 pub mod channels;
 pub mod claims;
+pub mod cold_placements;
 pub mod delayed_acks;
 pub mod directory;
 pub mod flow;
--- a/lib/src/connection/placement.rs
+++ b/lib/src/connection/placement.rs
@@ -39,6 +39,8 @@
     pub service: Name,
     /// The opening packet.
     pub packet: Packet,
+    /// When the caller sent its first opening packet.
+    pub since: Moment,
     /// Offers made so far.
     pub offers: Vec<Offer>,
     /// When the last offer times out.
@@ -63,6 +65,11 @@
         offers.for_each(|o| o.declined = Some(reason));
     }
 
+    /// Removes the offer to the agent at `link`, which declined it for the time being.
+    pub fn withdraw(&mut self, link: SocketAddr) {
+        self.offers.retain(|o| o.link != link);
+    }
+
     /// Returns the number of offers that may still be answered.
     pub fn unanswered(&self) -> usize {
         self.offers.iter().filter(|o| o.declined.is_none()).count()
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -15,6 +15,7 @@
 use super::home::Home;
 use super::local_backend::LocalBackend;
 use super::local_backend::NotServed;
+use super::local_backend::retransmit_delay;
 use super::message::KnownVersions;
 use super::message::Message;
 use super::placer::Placer;
@@ -65,10 +66,10 @@
 impl Agent {
     /// Creates an agent with an empty view.
     pub fn open(me: Identity, now: Moment) -> Self {
-        let (run, complete) = (me.run, me.first_start);
+        let run = me.run;
         Self {
+            backend: LocalBackend::open(&me, now),
             context: AgentContext::open(me, now),
-            backend: LocalBackend::open(complete, now),
             home: Home::default(),
             placer: Placer::open(run.0),
             detector: PauseDetector::open(now),
@@ -146,6 +147,12 @@
         self.backend.accepts_flows(now)
     }
 
+    /// Returns the rate in requests per second that the backend server bears and until when it
+    /// is cold, if it is and there is a limit.
+    pub fn cold(&self, now: Moment) -> Option<(f64, Moment)> {
+        self.backend.cold(now)
+    }
+
     /// Begins a planned stop: other agents place no more flows here.
     pub fn leave(&mut self, now: Moment) {
         self.backend.leave();
@@ -233,6 +240,7 @@
             self.backend.expire(&mut self.context, now);
             self.home.expire(now);
             self.placer.neighbours.expire(now);
+            self.placer.cold.expire(now);
             self.review_absences(now);
         }
         let service = self.backend.service(&self.context).clone();
@@ -267,6 +275,7 @@
         match message {
             Message::Claim { flows, load } => {
                 self.placer.neighbours.update_load(from, load);
+                self.placer.cold.report(from, load.openings, now);
                 for (flow, isn) in flows {
                     self.placer.confirm(&flow);
                     self.home.claim(&mut self.context, flow, Owner { link: from, isn }, now);
@@ -294,6 +303,7 @@
             Message::Heartbeat { run, service, load, accepting } => {
                 let neighbour = Neighbour { run, service, load, accepting, heard: now, charged: 0 };
                 self.placer.neighbours.heard(from, neighbour);
+                self.placer.cold.report(from, load.openings, now);
             }
             Message::Hello => self.send_recovery(from, now),
             Message::VersionQuery => {
@@ -330,7 +340,8 @@
             return;
         }
         let offers = self.placer.cancel(&flow).map(|p| p.offers).unwrap_or_default();
-        let placement = Placement { entry, domain, service, packet, offers, due: now };
+        let since = now - retransmit_delay(&segment);
+        let placement = Placement { entry, domain, service, packet, since, offers, due: now };
         self.placer.place(&mut self.context, &mut self.backend, placement, now);
     }
 
@@ -355,7 +366,7 @@
             // A retransmitted opening packet of a flow that was removed here.
             Err(_) if packet.segment.is_opening() => {
                 let check = match self.backend.is_routed(&self.context, &flow) {
-                    true => self.backend.check_new_flow(now),
+                    true => self.backend.check_opening(now),
                     false => Err(Decline::WrongService),
                 };
                 match check {
@@ -392,7 +403,7 @@
             false => Err(Decline::WrongService),
             // Another home may have placed the flow here already.
             true if self.backend.has_answered(&packet.segment) => Ok(()),
-            true => self.backend.check_new_flow(now),
+            true => self.backend.check_opening(now),
         };
         match check {
             Ok(()) => self.backend.offer(&mut self.context, &packet, entry, Some(home), now),
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -55,9 +55,14 @@
         self.member.as_ref().map_or(&context.me.service, |m| &m.service)
     }
 
-    /// Returns the failure domain of the backend server, if it has registered itself.
-    pub fn domain(&self) -> Option<&Name> {
-        self.member.as_ref().map(|m| &m.domain)
+    /// Returns the entry of the backend server, if it has registered itself.
+    pub fn member(&self) -> Option<&Arc<Member>> {
+        self.member.as_ref()
+    }
+
+    /// Returns the state of the keep-alive connection.
+    pub fn keep_alive(&self) -> KeepAlive {
+        self.keep_alive
     }
 
     /// Returns the number of requests that the backend server works on at once.
--- a/lib/src/front/packet/context.rs
+++ b/lib/src/front/packet/context.rs
@@ -10,6 +10,7 @@
 use crate::connection::flow::FlowKey;
 use crate::connection::segment::Packet;
 use crate::process::view::View;
+use crate::request::warm_up::Allowance;
 use crate::value::incarnation::Incarnation;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
@@ -49,6 +50,9 @@
     pub entry_ttl: Duration,
     /// Whether the whole fleet starts for the first time, so that no earlier flows exist.
     pub first_start: bool,
+    /// How far a cold backend server may be used beyond the rate that its service states;
+    /// without it there is no limit.
+    pub allowance: Option<Allowance>,
 }
 
 /// Identity, view and pending actions of an agent.
--- a/lib/src/front/packet/decline.rs
+++ b/lib/src/front/packet/decline.rs
@@ -1,5 +1,7 @@
 //! Why an agent did not accept a flow that it was offered.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -26,6 +28,13 @@
 }
 
 impl Decline {
+    /// Creates the decline of a cold backend server that accepts a flow after `wait`.
+    pub fn cold(wait: Duration) -> Self {
+        // Rounded up, so that the offer does not come too early again.
+        let after_ms = wait.as_micros().div_ceil(1_000).min(u16::MAX.into()) as u16;
+        Self::Cold { after_ms }
+    }
+
     /// Returns whether the flow is certainly not open at the backend server.
     pub fn is_certain(self) -> bool {
         self != Self::Silent
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -1,12 +1,14 @@
 //! The backend server beside an agent: its flows, queued requests and liveness.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::action::Action;
 use super::action::Phase;
 use super::backend_health::BackendHealth;
 use super::context::AgentContext;
+use super::context::Identity;
 use super::decline::Decline;
 use super::event::Decision;
 use super::event::Event;
@@ -27,6 +29,7 @@
 use crate::process::liveness::KeepAlive;
 use crate::request::load_meter::Load;
 use crate::request::request_queue::QueuedRequest;
+use crate::request::warm_up::WarmUpLimit;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
 use crate::value::reason::Reason;
@@ -56,18 +59,20 @@
 pub struct LocalBackend {
     health: BackendHealth,
     gate: Gate,
+    warm_up: WarmUpLimit,
     served: ServedFlows,
     probes: Probes,
     waiting: Waiting,
 }
 
 impl LocalBackend {
-    /// Creates the state of a backend server that is not known yet. `complete`
-    /// tells that it has no flows.
-    pub fn open(complete: bool, now: Moment) -> Self {
+    /// Creates the state of a backend server that is not known yet.
+    pub fn open(me: &Identity, now: Moment) -> Self {
+        let complete = me.first_start;
         Self {
             health: BackendHealth::open(complete, now),
             gate: Gate::open(now),
+            warm_up: WarmUpLimit::open(me.allowance, me.first_start, now),
             served: ServedFlows::default(),
             probes: Probes::default(),
             waiting: Waiting::open(now),
@@ -84,17 +89,31 @@
         &self.served
     }
 
-    /// Returns whether the backend server accepts new flows.
+    /// Returns whether the backend server accepts new flows, apart from its warm-up limit.
     pub fn accepts_flows(&self, now: Moment) -> bool {
         self.check_new_flow(now).is_ok()
     }
 
-    /// Checks whether a new flow may open at the backend server.
+    /// Checks whether a new flow may open at the backend server now.
     ///
     /// # Errors
     ///
     /// Returns why not.
-    pub fn check_new_flow(&self, now: Moment) -> Result<(), Decline> {
+    pub fn check_opening(&mut self, now: Moment) -> Result<(), Decline> {
+        self.check_new_flow(now)?;
+        match self.warm_up.wait(now) {
+            Duration::ZERO => Ok(()),
+            wait => Err(Decline::cold(wait)),
+        }
+    }
+
+    /// Returns the rate that the backend server bears and until when it is cold, if it is
+    /// and there is a limit.
+    pub fn cold(&self, now: Moment) -> Option<(f64, Moment)> {
+        self.warm_up.cold(now)
+    }
+
+    fn check_new_flow(&self, now: Moment) -> Result<(), Decline> {
         self.gate.check(now)?;
         if self.health.accepts_flows(now) { Ok(()) } else { Err(Decline::Leaving) }
     }
@@ -119,7 +138,8 @@
 
     /// Returns the load that is reported to other agents.
     pub fn load(&mut self, now: Moment) -> Load {
-        self.waiting.load(self.health.slots(), self.served.count(), now)
+        let load = self.waiting.load(self.health.slots(), self.served.count(), now);
+        Load { openings: self.warm_up.openings(now), ..load }
     }
 
     /// Begins a planned stop of the agent: no new flows are accepted.
@@ -134,13 +154,19 @@
         if self.health.update_member(context, now) {
             self.reset_flows(context, &service, now);
         }
-        let domains = [&context.me.domain].into_iter().chain(self.health.domain());
+        let member = self.health.member().map(Arc::as_ref);
+        let domains = [&context.me.domain].into_iter().chain(member.map(|m| &m.domain));
         self.gate.update(&context.view, domains);
+        let warm_up = context.view.routes.published().warm_up(self.health.service(context));
+        self.warm_up.update(warm_up, member, now);
     }
 
     /// Records that the agent runs.
     pub fn record_run(&mut self, now: Moment) {
-        self.gate.record_run(now);
+        let stalled = self.gate.record_run(now);
+        if !stalled.is_zero() {
+            self.warm_up.stalled(stalled, now);
+        }
     }
 
     /// Passes an opening packet to the backend server.
@@ -153,8 +179,10 @@
         now: Moment,
     ) {
         let flow = packet.segment.flow;
-        let waited =
-            RETRANSMIT_DELAYS.get(usize::from(packet.segment.attempt)).copied().unwrap_or_default();
+        if !self.pass_opening(context, &flow, now) {
+            return;
+        }
+        let waited = retransmit_delay(&packet.segment);
         self.end_followed(context, &packet.segment, now);
         let caller_isn = Some(packet.segment.seq);
         let opening = Flow::<Opening>::open(Some(entry), placer, now);
@@ -182,6 +210,12 @@
         let missing =
             if self.health.is_complete() { NotServed::Absent } else { NotServed::Unknown };
         let open = self.check_new_flow(now).is_ok();
+        if segment.is_opening()
+            && self.served.get(&segment.flow).is_some()
+            && !self.pass_opening(context, &segment.flow, now)
+        {
+            return Ok(());
+        }
         let served = self.served.get_mut(&segment.flow).ok_or(missing)?;
         match served {
             // It may open only now, by a copy of a packet that was lost.
@@ -221,6 +255,18 @@
         Ok(())
     }
 
+    /// Counts an opening packet that is about to be passed to the backend server; returns
+    /// false if the warm-up limit does not allow it, which drops the packet: the caller's next
+    /// copy follows.
+    fn pass_opening(&mut self, context: &mut AgentContext, flow: &FlowKey, now: Moment) -> bool {
+        if !self.warm_up.wait(now).is_zero() {
+            context.record(Event::of(Decision::Dropped).reason(Reason::Cold).flow(*flow));
+            return false;
+        }
+        self.warm_up.record_opening(now);
+        true
+    }
+
     /// Returns whether the backend server has the flow of a caller's packet with
     /// acknowledgement number `ack`.
     ///
@@ -337,6 +383,7 @@
         segment: &Segment,
         now: Moment,
     ) -> Option<ServedFlow> {
+        self.warm_up.record_packet(now);
         if segment.flags.opens {
             self.health.heard(now);
         } else {
@@ -432,6 +479,7 @@
 
     /// Records a packet that any run of the backend server may have sent.
     pub fn heard(&mut self, now: Moment) {
+        self.warm_up.record_packet(now);
         self.health.heard(now);
     }
 
@@ -442,6 +490,13 @@
         keep_alive: KeepAlive,
         now: Moment,
     ) {
+        match keep_alive {
+            KeepAlive::Open if self.health.keep_alive() != KeepAlive::Open => {
+                self.warm_up.record_start(now);
+            }
+            KeepAlive::Refused => self.warm_up.record_absence(now),
+            KeepAlive::Open | KeepAlive::Closed => {}
+        }
         if self.health.update_keep_alive(keep_alive, now) {
             self.mark_dead(context, now);
         }
@@ -449,6 +504,7 @@
 
     /// Handles a refusal of packets by the backend server's address.
     pub fn handle_refusal(&mut self, context: &mut AgentContext, now: Moment) {
+        self.warm_up.record_absence(now);
         if self.health.refused(now) {
             self.mark_dead(context, now);
         }
@@ -563,6 +619,11 @@
     }
 }
 
+/// Returns how long its caller had waited when it sent an opening packet.
+pub fn retransmit_delay(opening: &Segment) -> Duration {
+    RETRANSMIT_DELAYS.get(usize::from(opening.attempt)).copied().unwrap_or_default()
+}
+
 /// Tells the homes of a flow of `service` that its owner no longer has it.
 fn release(context: &mut AgentContext, service: &Name, flow: &FlowKey, served: &ServedFlow) {
     if matches!(served, ServedFlow::Opening(_)) {
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -17,11 +17,13 @@
 use super::local_backend::LocalBackend;
 use super::message::Message;
 use super::shortage::Shortage;
+use crate::connection::cold_placements::ColdPlacements;
 use crate::connection::flow::FlowKey;
 use crate::connection::placement::MAX_UNANSWERED;
 use crate::connection::placement::OFFER_TIMEOUT;
 use crate::connection::placement::Placement;
 use crate::connection::placement::Placements;
+use crate::process::cold_backends::ColdBackends;
 use crate::process::neighbours::Neighbours;
 use crate::request::load_meter::Load;
 use crate::value::moment::Moment;
@@ -41,6 +43,9 @@
 /// Largest random share added to the expected completion time, so that several
 /// homes don't choose the same backend server at the same time.
 const JITTER: f64 = 0.05;
+/// Longest random delay in milliseconds before a flow is offered to a cold backend server
+/// again.
+const COLD_SPREAD_MS: u64 = 20;
 
 /// Chooses backend servers for new flows.
 #[derive(Debug)]
@@ -48,6 +53,9 @@
     placements: Placements,
     /// What other agents reported about themselves.
     pub neighbours: Neighbours,
+    /// What other agents reported about warm-up limits.
+    pub cold: ColdBackends,
+    waiting: ColdPlacements,
     rng: Pcg64Mcg,
 }
 
@@ -57,6 +65,8 @@
         Self {
             placements: Placements::default(),
             neighbours: Neighbours::default(),
+            cold: ColdBackends::default(),
+            waiting: ColdPlacements::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -74,7 +84,7 @@
         let mut shortage = Shortage::default();
         let choice = self.choose(context, backend, &placement, &mut shortage, now);
         let Some((link, cost)) = choice.filter(|_| placement.unanswered() < MAX_UNANSWERED) else {
-            reject(context, placement, shortage);
+            self.wait_or_reject(context, placement, shortage, now);
             return;
         };
         let decision = match placement.offers.len() {
@@ -87,6 +97,7 @@
             backend.offer(context, &placement.packet, placement.entry, None, now);
         } else {
             self.neighbours.charge(link);
+            self.cold.charge(link);
             let service = placement.service.clone();
             let message = Message::Place { entry: placement.entry, service };
             context.send_packet(link, message, &placement.packet);
@@ -97,6 +108,7 @@
     /// Ends the placement of a flow that a backend server accepted.
     pub fn confirm(&mut self, flow: &FlowKey) {
         self.placements.end(flow);
+        self.waiting.end(flow);
     }
 
     /// Handles a definite refusal of an offer by the agent at `link`, for the reason `why`.
@@ -109,7 +121,13 @@
         now: Moment,
     ) {
         if let Some(mut placement) = self.placements.end(flow) {
-            placement.decline(link, why.reason());
+            match why {
+                Decline::Cold { after_ms } => {
+                    self.cold.decline(link, Duration::from_millis(after_ms.into()), now);
+                    placement.withdraw(link);
+                }
+                why => placement.decline(link, why.reason()),
+            }
             self.place(context, backend, placement, now);
         }
     }
@@ -129,7 +147,7 @@
 
     /// Ends a placement that a copy of the opening packet starts anew.
     pub fn cancel(&mut self, flow: &FlowKey) -> Option<Placement> {
-        self.placements.end(flow)
+        self.placements.end(flow).or_else(|| self.waiting.end(flow))
     }
 
     /// Repeats offers that have timed out.
@@ -140,6 +158,9 @@
             }
             self.place(context, backend, placement, now);
         }
+        for placement in self.waiting.due(now) {
+            self.place(context, backend, placement, now);
+        }
     }
 
     /// Returns a random registered backend server.
@@ -149,7 +170,27 @@
 
     /// Returns whether placements are in progress.
     pub fn has_pending(&self) -> bool {
-        !self.placements.is_empty()
+        !self.placements.is_empty() || !self.waiting.is_empty()
+    }
+
+    /// Keeps a placement until a cold backend server may accept the flow, while its caller
+    /// waits, and ends it if none will.
+    fn wait_or_reject(
+        &mut self,
+        context: &mut AgentContext,
+        placement: Placement,
+        shortage: Shortage,
+        now: Moment,
+    ) {
+        // Spread, since other homes were told the same time.
+        let spread = Duration::from_millis(self.rng.random_range(0..=COLD_SPREAD_MS));
+        let rejected = match shortage.wait() {
+            Some(wait) => self.waiting.hold(placement, now + wait + spread),
+            None => Some(placement),
+        };
+        if let Some(placement) = rejected {
+            reject(context, placement, shortage);
+        }
     }
 
     /// Returns the address and the cost of the best backend server that has not
@@ -167,13 +208,13 @@
         for member in pool.members() {
             let link = context.link(member);
             if let Some(offer) = placement.offer_to(link) {
-                offer.declined.into_iter().for_each(|reason| shortage.add(reason));
+                offer.declined.into_iter().for_each(|reason| shortage.add_declined(reason));
                 continue;
             }
             let cost = match self.cost(context, backend, member, link, now) {
                 Ok(cost) => cost,
                 Err(why) => {
-                    shortage.add(why.reason());
+                    shortage.add(why);
                     continue;
                 }
             };
@@ -213,9 +254,13 @@
             if *backend.service(context) != member.service {
                 return Err(Decline::WrongService);
             }
-            backend.check_new_flow(now)?;
+            backend.check_opening(now)?;
             return Ok(backend.load(now).completion(0));
         }
+        let wait = self.cold.wait(link, now);
+        if !wait.is_zero() {
+            return Err(Decline::cold(wait));
+        }
         let suspect = self.neighbours.is_suspect(link, now);
         let penalty = if suspect { SUSPECT_PENALTY.as_micros() as f64 } else { 0.0 };
         match self.neighbours.get(link) {
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod action;
 pub mod agent;
+pub mod cold_backends;
 pub mod context;
 pub mod flow_location;
 pub mod gauges;
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod cold_period;
 pub mod costs;
 pub mod delegation;
 pub mod exchange;
@@ -18,4 +19,5 @@
 pub mod retry_budget;
 pub mod token;
 pub mod vote_set;
+pub mod warm_up;
 pub mod witness;
--- a/lib/tests/packets.rs
+++ b/lib/tests/packets.rs
@@ -90,6 +90,7 @@
         reuse_delay: SECOND * 2,
         entry_ttl: SECOND * 4,
         first_start: false,
+        allowance: None,
     };
     Agent::open(me, now)
 }
--- a/testutils/src/packets/checks.rs
+++ b/testutils/src/packets/checks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::flow::FlowKey;
@@ -18,6 +19,16 @@
 /// Time after the order within which no flow opens any more in an evacuated failure domain.
 pub const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 
+/// A backend server whose warm-up limit is checked.
+#[derive(Debug)]
+struct Cold {
+    from: Moment,
+    until: Moment,
+    // Opening packets that it may get in a second.
+    limit: usize,
+    openings: VecDeque<Moment>,
+}
+
 /// Collects violations found in the packets that backend servers and callers receive.
 #[derive(Debug, Default)]
 pub struct Checks {
@@ -26,6 +37,8 @@
     misrouted: HashMap<FlowKey, Vec<Moment>>,
     // Evacuated failure domains, with the time of the order.
     evacuated: BTreeMap<Name, Moment>,
+    // Cold backend servers, with the opening packets that they got lately.
+    cold: HashMap<Name, Cold>,
     /// Descriptions of the violations, each with its time.
     pub violations: Vec<String>,
 }
@@ -53,6 +66,28 @@
         }
     }
 
+    /// Records that a backend server is cold from `from` to `until`, and the number of opening
+    /// packets that it may get in any second meanwhile.
+    pub fn record_cold(&mut self, name: &Name, limit: usize, from: Moment, until: Moment) {
+        let cold = Cold { from, until, limit, openings: VecDeque::new() };
+        self.cold.insert(name.clone(), cold);
+    }
+
+    /// Checks the number of opening packets in a second at a backend server that gets one
+    /// (FAILBACK).
+    pub fn check_warm_up(&mut self, name: &Name, now: Moment) {
+        let Some(cold) = self.cold.get_mut(name) else { return };
+        if now < cold.from || now >= cold.until {
+            return;
+        }
+        cold.openings.push_back(now);
+        cold.openings.retain(|at| now.since(*at) < Duration::from_secs(1));
+        let (count, limit) = (cold.openings.len(), cold.limit);
+        if count > limit {
+            self.report(now, format!("{name} is cold and got {count} of {limit} openings"));
+        }
+    }
+
     /// Records that a packet of an open flow reached a backend server; `own` tells
     /// whether it is the one that holds the flow.
     pub fn record_delivery(&mut self, flow: FlowKey, own: bool, now: Moment) {
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -26,6 +26,7 @@
 use lagoonhollow_lib::process::registry;
 use lagoonhollow_lib::process::registry::Listing;
 use lagoonhollow_lib::process::view::View;
+use lagoonhollow_lib::request::warm_up::Allowance;
 use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::name::Name;
@@ -39,6 +40,7 @@
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_lib::version::routes::Routes;
 use lagoonhollow_lib::version::service::Service;
+use lagoonhollow_lib::version::service::WarmUp;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -142,6 +144,7 @@
     routes: Arc<Routes<InForce>>,
     evacuations: Arc<Evacuations>,
     leaving: HashMap<Name, Moment>,
+    warm_up: Option<(WarmUp, Allowance)>,
 }
 
 impl World {
@@ -185,6 +188,7 @@
             routes,
             evacuations: Arc::new(Evacuations::open(Revision { epoch: 0, number: 1 }, [])),
             leaving: HashMap::new(),
+            warm_up: None,
         };
         for (service, count) in services {
             for _ in 0..*count {
@@ -215,14 +219,50 @@
             domain: format!("d-{}", i % 3).into(),
             slots: 4,
             standing: MemberState::Ready,
-            warming: Duration::ZERO,
+            warming: self.warm_up.map_or(Duration::ZERO, |(warm_up, _)| warm_up.period),
             born: self.now.0 / 1_000,
         };
         self.backends.push(Backend::open(member));
         self.register(i);
+        self.check_warm_up(i, Duration::ZERO);
         i
     }
 
+    /// Publishes a warm-up limit of all services, and starts all agents with it.
+    pub fn limit_warm_up(&mut self, warm_up: WarmUp, allowance: Allowance) {
+        self.warm_up = Some((warm_up, allowance));
+        let mut published = self.routes.published().clone();
+        published.version += 1;
+        published.services.iter_mut().for_each(|s| s.warm_up = Some(warm_up));
+        self.routes = Arc::new(Routes::open(published).enforce(&self.routes));
+        for i in 0..self.agents.len() {
+            self.backends[i].member.warming = warm_up.period;
+            self.register(i);
+            self.check_warm_up(i, Duration::ZERO);
+            self.start_agent(i, true);
+        }
+    }
+
+    /// Writes a registry entry which says that a backend server is cold for `time`.
+    pub fn cool(&mut self, i: usize, time: Duration) {
+        self.backends[i].member.warming = time;
+        self.register(i);
+        self.check_warm_up(i, time);
+    }
+
+    /// Begins the check of a backend server's warm-up limit. What its entry says, for `stated`,
+    /// has to be read first.
+    fn check_warm_up(&mut self, i: usize, stated: Duration) {
+        let Some((WarmUp { period, rate }, allowance)) = self.warm_up else { return };
+        let limit = rate * allowance.overage + allowance.slack;
+        let (from, time) = match stated {
+            Duration::ZERO => (self.now, period),
+            time => (self.now + Duration::from_secs(1), time),
+        };
+        let name = &self.backends[i].member.name;
+        self.checks.record_cold(name, limit as usize, from, self.now + time);
+    }
+
     /// Starts an entry.
     pub fn start_entry(&mut self, i: usize) {
         let domain = format!("d-{}", i % 3).into();
@@ -243,6 +283,7 @@
             reuse_delay: REUSE_DELAY,
             entry_ttl: ENTRY_TTL,
             first_start,
+            allowance: self.warm_up.map(|(_, allowance)| allowance),
         };
         let agent = Agent::open(me, self.now);
         self.agents[i].process = Some(Process::Agent(Box::new(agent)));
@@ -279,6 +320,7 @@
         self.backends[i] = Backend::open(member);
         self.backends[i].slowdown = slowdown;
         self.register(i);
+        self.check_warm_up(i, Duration::ZERO);
     }
 
     /// Writes a backend server's registry entry.
@@ -578,6 +620,7 @@
             self.checks.report(self.now, problem);
         }
         self.checks.check_evacuation(&segment.flow, member, self.now);
+        self.checks.check_warm_up(&member.name, self.now);
         let late = |at: &Moment| self.now.since(*at) > DRAIN_BOUND;
         if self.leaving.get(&member.name).is_some_and(late) {
             let problem =
