--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod action;
 pub mod agent;
+pub mod cold_backends;
 pub mod context;
 pub mod ended_runs;
 pub mod first_run;
