Let a few observers watch the store and confirm the others

Every process kept two watches with waits of up to 25 s.

Only 3 to 8 agents, chosen by rank from the roster, now watch the store, with a wait of a quarter of the strictest bound. The others ask two of them every 400 ms; an answer with equal versions and a current age confirms their knowledge as of the query's time less that age, and later versions are pulled at once. A process that is not confirmed for half of the bound reads the store itself on new connections, spread at random and with backoff. View::fresh, partial and read_at follow the confirmation.

Equal revisions now mean equal contents: a process that lists the store for the first time takes the listing's revision, a delta brings its reader to the revision of its sender, and a listing of several pages is completed by the changes since its first page before it is applied.

--- a/daemon/src/connection/packet/executor.rs
+++ b/daemon/src/connection/packet/executor.rs
@@ -69,6 +69,12 @@
                         self.metrics.count(Reason::ChannelFull);
                     }
                 }
+                Action::Answered { peer, known, sent, age } => {
+                    let report = Report::Answered { peer, known, sent, age };
+                    if self.reports.try_send(report).is_err() {
+                        self.metrics.count(Reason::ChannelFull);
+                    }
+                }
                 Action::Record(event) => self.decision_log.record(&event, known, now),
                 Action::Measured(phase, took) => self.metrics.observe(phase, took),
             }
--- a/daemon/src/process/admin.rs
+++ b/daemon/src/process/admin.rs
@@ -96,6 +96,9 @@
             state: state.to_owned(),
             version,
             ready: state == Serving::NAME && version > 0,
+            observer: false,
+            confirmed_by: None,
+            confirmation_ms: None,
             held: held.map(|(name, n)| (name.to_owned(), n as u64)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
         }
--- a/daemon/src/process/packet/control.rs
+++ b/daemon/src/process/packet/control.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lagoonhollow_lib::process::confirmation::Part;
 use lagoonhollow_lib::process::lifecycle::Draining;
 use lagoonhollow_lib::process::lifecycle::Lifecycle;
 use lagoonhollow_lib::process::lifecycle::Stopped;
 use lagoonhollow_lib::value::incarnation::Incarnation;
-use lagoonhollow_platform::store::StoreClient;
 use ntex::client::Client;
 use ntex::rt::spawn;
 use tokio::sync::mpsc;
@@ -24,6 +24,7 @@
 use super::traffic_queues::Report;
 use crate::connection::packet::keep_alive;
 use crate::version::packet::follow;
+use crate::version::packet::pull;
 
 /// Time beyond the drain time after which a planned stop no longer waits for the
 /// traffic thread.
@@ -56,12 +57,11 @@
     let _ = started.send(Ok(()));
     let life = life.recover(clock.now());
     shared.set_state(&life);
-    let store = StoreClient::open(&shared.settings.store, follow::CALL_TIMEOUT).await;
-    spawn(follow::follow_orders(store.clone(), shared.clone()));
-    spawn(follow::follow_members(store, shared.clone()));
+    spawn(follow::follow(Part::Orders, shared.clone()));
+    spawn(follow::follow(Part::Members, shared.clone()));
     let client = Client::new().await;
     let peers = shared.settings.peers.clone();
-    spawn(follow::pull_from_peers(client.clone(), peers, shared.clone()));
+    spawn(pull::pull_from_peers(client.clone(), peers, shared.clone()));
     if let Role::Agent(role) = &shared.settings.role {
         spawn(keep_alive::maintain(role.backend, shared.traffic.clone()));
     }
@@ -80,11 +80,16 @@
                     let (client, shared) = (client.clone(), shared.clone());
                     let pulling = pulling.clone();
                     spawn(async move {
-                        follow::catch_up(&client, peer, known, &shared).await;
+                        pull::catch_up(&client, peer, known, &shared).await;
                         pulling.set(false);
                     });
                 }
                 Report::Behind { .. } => {}
+                Report::Answered { peer, known, sent, age: Some(age) } => {
+                    shared.knowledge.vouch(peer, known, sent, age, clock.now());
+                    shared.publish();
+                }
+                Report::Answered { .. } => {}
                 Report::Drained => break,
             },
             _ = check.tick() => shared.publish(),
@@ -115,7 +120,7 @@
         };
         match timeout(DRAIN_SLACK, reports.recv()).await {
             Ok(Some(Report::Drained) | None) => open = 0,
-            Ok(Some(Report::Behind { .. })) | Err(_) => {}
+            Ok(Some(Report::Behind { .. } | Report::Answered { .. })) | Err(_) => {}
         }
     }
 }
--- a/daemon/src/process/packet/metrics.rs
+++ b/daemon/src/process/packet/metrics.rs
@@ -53,6 +53,10 @@
     pub epoch: Gauge,
     /// Registered backend servers.
     pub members: Gauge,
+    /// Whether the process observes the store for the others.
+    pub observer: Gauge,
+    /// Time in milliseconds since a change of the store may be missing.
+    pub confirmation_age: Gauge,
     /// Whether packets are accepted.
     pub ready: Gauge,
     /// Flows whose owner is remembered, or that are served.
@@ -95,6 +99,9 @@
         let roster = gauge("roster_revision", "Revision of the roster");
         let epoch = gauge("store_epoch", "How often the store came back from an older copy");
         let members = gauge("members", "Registered backend servers");
+        let observer = gauge("observer", "Whether the process observes the store for others");
+        let confirmation_age =
+            gauge("confirmation_age_ms", "Time since a change of the store may be missing");
         let ready = gauge("ready", "Whether packets are taken");
         let flows = gauge("flows", "Flows remembered or served");
         let records = gauge("records", "Flows recorded as their home");
@@ -125,6 +132,8 @@
             roster,
             epoch,
             members,
+            observer,
+            confirmation_age,
             ready,
             flows,
             records,
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -2,11 +2,16 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 
+use lagoonhollow_lib::process::confirmation::Part;
 use lagoonhollow_lib::process::lifecycle::Lifecycle;
 use lagoonhollow_lib::process::lifecycle::Serving;
 use lagoonhollow_lib::process::lifecycle::Starting;
 use lagoonhollow_lib::process::lifecycle::State as LifeState;
+use lagoonhollow_lib::process::observers::Observers;
+use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_platform::error::StoreError;
@@ -32,10 +37,8 @@
     pub knowledge: Knowledge,
     /// Clock of the process.
     pub clock: Clock,
-    /// Notified when another process knows later routes or evacuations than the watch has returned.
-    pub newer_orders: Notify,
-    /// Notified when another process knows a later roster than the watch has returned.
-    pub newer_members: Notify,
+    /// Notified when this process becomes an observer or ceases to be one.
+    pub role_changed: Notify,
     /// Held while an answer with operators' orders is received, so that a second one does not share
     /// the link with it.
     pub orders_transfer: tokio::sync::Mutex<()>,
@@ -43,6 +46,11 @@
     pub members_transfer: tokio::sync::Mutex<()>,
     /// Queue to the traffic thread.
     pub traffic: mpsc::Sender<Command>,
+    // Notified when another process knows later versions than the watch has returned.
+    newer_orders: Notify,
+    newer_members: Notify,
+    observes: AtomicBool,
+    confirmed: AtomicBool,
     // Only the control thread and the admin server take this lock.
     state: Mutex<&'static str>,
 }
@@ -55,7 +63,7 @@
         clock: Clock,
         traffic: mpsc::Sender<Command>,
     ) -> Self {
-        let knowledge = Knowledge::open();
+        let knowledge = Knowledge::open(settings.drain_limit, clock.incarnation().0);
         let state = Mutex::new(Starting::NAME);
         let (newer_orders, newer_members) = (Notify::new(), Notify::new());
         Self {
@@ -63,11 +71,14 @@
             metrics,
             knowledge,
             clock,
-            newer_orders,
-            newer_members,
+            role_changed: Notify::new(),
             orders_transfer: tokio::sync::Mutex::default(),
             members_transfer: tokio::sync::Mutex::default(),
             traffic,
+            newer_orders,
+            newer_members,
+            observes: AtomicBool::new(false),
+            confirmed: AtomicBool::new(false),
             state,
         }
     }
@@ -89,6 +100,28 @@
         state == Serving::NAME && known && !view.roster.members().is_empty()
     }
 
+    /// Returns whether the process is an observer of the store.
+    pub fn observes(&self) -> bool {
+        self.observes.load(Relaxed)
+    }
+
+    /// Returns what is notified when another process has long known a later version of `part`
+    /// than the watch has returned.
+    pub fn newer(&self, part: Part) -> &Notify {
+        match part {
+            Part::Orders => &self.newer_orders,
+            Part::Members => &self.newer_members,
+        }
+    }
+
+    /// Returns the lock that is held while an answer with `part` is received.
+    pub fn transfer(&self, part: Part) -> &tokio::sync::Mutex<()> {
+        match part {
+            Part::Orders => &self.orders_transfer,
+            Part::Members => &self.members_transfer,
+        }
+    }
+
     /// Puts routes in force if they are later; `source` is logged.
     pub fn apply_routes(&self, published: Published, source: &str) {
         let version = published.version;
@@ -107,25 +140,50 @@
         let view = self.knowledge.view();
         self.metrics.roster.set(view.roster.revision().number as i64);
         self.metrics.members.set(view.roster.members().len() as i64);
+        self.update_role(&view);
+        self.update_confirmation(&view);
         self.update_readiness();
     }
 
+    /// Determines whether the process is an observer.
+    fn update_role(&self, view: &View) {
+        let link = self.settings.advertised;
+        let agent = matches!(self.settings.role, Role::Agent(_));
+        let observer = agent && Observers::of(&view.roster, link.port()).include(link);
+        if self.observes.swap(observer, Relaxed) != observer {
+            self.metrics.observer.set(observer.into());
+            self.role_changed.notify_waiters();
+            spdlog::info!("role", kv: { observer });
+        }
+    }
+
+    /// Shows what confirms the process's knowledge; logs if that begins or ends.
+    fn update_confirmation(&self, view: &View) {
+        let age_ms = self.clock.now().since(view.read_at).as_millis() as u64;
+        let Some((by, _)) = self.knowledge.confirmation() else { return };
+        self.metrics.confirmation_age.set(age_ms as i64);
+        let confirmed = view.fresh || view.partial;
+        if self.confirmed.swap(confirmed, Relaxed) != confirmed {
+            spdlog::info!("confirmation", kv: { confirmed, by:, age_ms });
+        }
+    }
+
     /// Counts a failed read of `what` from the store, and logs the first failure in a
     /// row.
-    pub fn store_failed(&self, what: &str, error: &StoreError, failing: &mut bool) {
+    pub fn store_failed(&self, what: Part, error: &StoreError, failing: &mut bool) {
         self.metrics.store_failures.inc();
         self.metrics.discarded_bytes.inc_by(error.received() as u64);
         self.metrics.count(Reason::PlatformDown);
         if !std::mem::replace(failing, true) {
-            spdlog::warn!("store_lost", kv: { what, error: });
+            spdlog::warn!("store_lost", kv: { what:, error: });
         }
     }
 
     /// Logs and counts that a watch of `what` was given up, since another process knows
     /// later versions than it has returned.
-    pub fn watch_abandoned(&self, what: &str) {
+    pub fn watch_abandoned(&self, what: Part) {
         self.metrics.abandoned_watches.inc();
-        spdlog::info!("watch_abandoned", kv: { what });
+        spdlog::info!("watch_abandoned", kv: { what: });
     }
 
     /// Records the store's epoch; logs if it has changed since the last answer.
@@ -137,9 +195,9 @@
     }
 
     /// Logs that the store answers again after failures.
-    pub fn store_recovered(&self, what: &str, failing: &mut bool) {
+    pub fn store_recovered(&self, what: Part, failing: &mut bool) {
         if std::mem::take(failing) {
-            spdlog::info!("store_regained", kv: { what });
+            spdlog::info!("store_regained", kv: { what: });
         }
     }
 
@@ -157,6 +215,8 @@
         ];
         let reasons = self.metrics.reasons();
         let (state, ready) = (self.state(), self.is_ready());
+        let confirmation = self.knowledge.confirmation();
+        let age = |at| self.clock.now().since(at).as_millis() as u64;
         Status {
             name: self.settings.name.to_string(),
             role: role.to_owned(),
@@ -164,6 +224,9 @@
             state: state.to_owned(),
             version: self.knowledge.known().routes,
             ready,
+            observer: self.observes(),
+            confirmed_by: confirmation.map(|(by, _)| by.to_string()),
+            confirmation_ms: confirmation.map(|(_, at)| age(at)),
             held: held.map(|(name, n)| (name.to_owned(), n)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
         }
--- a/daemon/src/process/packet/traffic_queues.rs
+++ b/daemon/src/process/packet/traffic_queues.rs
@@ -9,6 +9,7 @@
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::process::liveness::KeepAlive;
 use lagoonhollow_lib::process::view::View;
+use lagoonhollow_lib::value::moment::Moment;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -46,6 +47,17 @@
         /// Versions that it knows.
         known: KnownVersions,
     },
+    /// Another process answered a version query.
+    Answered {
+        /// Address of the other process.
+        peer: SocketAddr,
+        /// Versions that it knows.
+        known: KnownVersions,
+        /// When the query was sent.
+        sent: Moment,
+        /// Time since which a change may be missing there; none if it can't tell.
+        age: Option<Duration>,
+    },
     /// The traffic thread has drained or ended.
     Drained,
 }
--- a/daemon/src/process/status.rs
+++ b/daemon/src/process/status.rs
@@ -20,6 +20,16 @@
     pub version: u64,
     /// Whether new work is accepted.
     pub ready: bool,
+    /// Whether the process observes the store for the others.
+    #[serde(default)]
+    pub observer: bool,
+    /// What confirmed last that its knowledge matches the store: `store`, or the address of
+    /// another process.
+    #[serde(default)]
+    pub confirmed_by: Option<String>,
+    /// Time in milliseconds since a change of the store may be missing.
+    #[serde(default)]
+    pub confirmation_ms: Option<u64>,
     /// Numbers of flows, requests and other items held, by kind.
     pub held: BTreeMap<String, u64>,
     /// Nonzero counts of refusals, drops and retries, by reason.
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -1,10 +1,16 @@
 //! What a process knows of routes and backend servers.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
 use lagoonhollow_lib::front::packet::message::KnownVersions;
+use lagoonhollow_lib::process::confirmation::Answered;
+use lagoonhollow_lib::process::confirmation::Confirmation;
+use lagoonhollow_lib::process::confirmation::Part;
+use lagoonhollow_lib::process::confirmation::Step;
+use lagoonhollow_lib::process::confirmation::Witness;
 use lagoonhollow_lib::process::registry::Change;
 use lagoonhollow_lib::process::registry::Listing;
 use lagoonhollow_lib::process::registry::Registry;
@@ -20,13 +26,6 @@
 
 use super::knowledge_delta::KnowledgeDelta;
 
-/// Time after the end of a watch within which a reachable store has answered
-/// again, including a pause of [`USUAL_PAUSE`] between two watches. Until then, a backend
-/// server that is not listed is known to be gone.
-const FRESH_MARGIN: Duration = Duration::from_secs(3);
-/// Pause between two watches that [`FRESH_MARGIN`] includes.
-const USUAL_PAUSE: Duration = Duration::from_millis(2_400);
-
 /// Knowledge of the process, which only the control thread changes.
 #[derive(Debug)]
 pub struct Knowledge {
@@ -35,19 +34,38 @@
     view: watch::Sender<View>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     registry: Registry,
-    last_answer: Moment,
-    // Latest time at which the next answer is due.
-    next_answer: Moment,
+    confirmation: Confirmation,
+    orders: Position,
+    members: Position,
     changed: bool,
 }
 
+/// Where the next read of a part continues.
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    // The store's revision of the last read.
+    read: Option<Revision>,
+    // Whether the store no longer has the history after it.
+    lost: bool,
+}
+
 impl Knowledge {
-    /// Opens without any knowledge.
-    pub fn open() -> Self {
-        Self { state: Mutex::default(), view: watch::channel(View::default()).0 }
+    /// Opens without any knowledge. `bound` is the strictest time limit for a change to be in
+    /// force; `seed` differs between processes.
+    pub fn open(bound: Duration, seed: u64) -> Self {
+        let confirmation = Confirmation::open(bound, seed);
+        let registry = Registry::default();
+        let state = State {
+            registry,
+            confirmation,
+            orders: Position::default(),
+            members: Position::default(),
+            changed: false,
+        };
+        Self { state: state.into(), view: watch::channel(View::default()).0 }
     }
 
     /// Returns a receiver that is notified of each new view.
@@ -104,49 +122,98 @@
         })
     }
 
-    /// Records that backend servers could not be read from the store.
-    pub fn store_failed(&self) {
-        self.lock().registry.failed();
+    /// Returns what this process does next about `part`.
+    pub fn step(&self, part: Part, observes: bool, now: Moment) -> Step {
+        self.lock().confirmation.step(part, observes, now)
     }
 
-    /// Records that the store answered.
-    pub fn store_answered(&self, now: Moment) {
+    /// Returns the revision after which nothing is known of `part`, none if all of it has to
+    /// be read.
+    pub fn position(&self, part: Part) -> Option<Revision> {
+        let state = self.lock();
+        // Where another process has told this one of later changes, they are known as well.
+        let (position, known) = match part {
+            Part::Orders => (state.orders, self.view.borrow().evacuations.revision()),
+            Part::Members => (state.members, state.registry.revision()),
+        };
+        let latest = position.read.max((known != Revision::default()).then_some(known));
+        latest.filter(|_| !position.lost)
+    }
+
+    /// Records that the store no longer has the history that the next read of `part` needs.
+    pub fn lose_position(&self, part: Part) {
+        self.lock().position(part).lost = true;
+    }
+
+    /// Records that `part` could not be read from the store.
+    pub fn read_failed(&self, part: Part, ready: bool, now: Moment) {
         let mut state = self.lock();
-        state.registry.answered(now);
-        state.last_answer = now;
-        state.next_answer = now;
+        // The store may be out of reach of this process alone, which another one that
+        // vouches for its knowledge would tell.
+        let vouched = matches!(state.confirmation.witness(), Some(Witness::Process(_)));
+        if !(vouched && state.confirmation.is_current(now)) {
+            state.registry.failed();
+        }
+        state.confirmation.failed(part, ready, now);
     }
 
-    /// Records that the next watch starts only after `interval`.
-    ///
-    /// Has no effect if the previous answer is overdue.
-    pub fn watch_paused(&self, interval: Duration, now: Moment) {
+    /// Records that an answer of the store at `revision` was applied.
+    pub fn confirm_read(&self, part: Part, revision: Revision, answer: &Answered, now: Moment) {
         let mut state = self.lock();
-        if now < state.next_answer + FRESH_MARGIN {
-            state.next_answer = now + interval.saturating_sub(USUAL_PAUSE);
+        *state.position(part) = Position { read: Some(revision), lost: false };
+        if state.confirmation.has_lapsed(now) {
+            state.registry.failed();
+        }
+        state.confirmation.read(part, answer);
+        if state.confirmation.is_current(now) {
+            state.registry.answered(now);
         }
     }
 
-    /// Records that a watch has started, which the store may take `wait` to answer.
-    ///
-    /// Has no effect if the previous answer is overdue.
-    pub fn watch_started(&self, wait: Duration, now: Moment) {
+    /// Records that the process at `by` lacked no change as of `age` before it answered a
+    /// query that was sent at `sent`; has no effect unless it knows the same versions.
+    pub fn vouch(
+        &self,
+        by: SocketAddr,
+        known: KnownVersions,
+        sent: Moment,
+        age: Duration,
+        now: Moment,
+    ) {
+        if known != self.known() {
+            return;
+        }
         let mut state = self.lock();
-        if now < state.next_answer + FRESH_MARGIN {
-            state.next_answer = now + wait;
+        let lapsed = state.confirmation.has_lapsed(now);
+        if lapsed {
+            state.registry.failed();
+        }
+        state.confirmation.vouched(by, sent, age);
+        match (state.confirmation.is_current(now), lapsed) {
+            // Entries may have lapsed during an outage that nobody could tell this process.
+            (true, true) => state.registry.answered(now),
+            (true, false) => state.registry.vouched(),
+            (false, _) => {}
         }
     }
 
+    /// Returns what confirms the knowledge, and the time up to which nothing is missing.
+    pub fn confirmation(&self) -> Option<(Witness, Moment)> {
+        let confirmation = &self.lock().confirmation;
+        confirmation.witness().zip(confirmation.confirmed_at())
+    }
+
     /// Applies changes that the store reported.
     pub fn apply_changes(&self, changes: Vec<Change>, now: Moment) {
         let mut state = self.lock();
         state.changed |= state.registry.change(changes, now);
     }
 
-    /// Applies an update from a process that knows a later revision.
-    pub fn apply_update(&self, update: RegistryUpdate, now: Moment) {
+    /// Applies an update from a process that knows the later revision `at`.
+    pub fn apply_update(&self, update: RegistryUpdate, at: Revision, now: Moment) {
         let mut state = self.lock();
         state.changed |= state.registry.learn(update, now);
+        state.registry.advance(at);
     }
 
     /// Replaces all backend servers by those that the store lists.
@@ -159,13 +226,14 @@
     pub fn publish(&self, now: Moment) {
         let mut state = self.lock();
         state.changed |= state.registry.expire(now);
-        let answered =
-            state.last_answer > Moment::default() && now < state.next_answer + FRESH_MARGIN;
-        let fresh = answered && state.registry.confirms_absence(now);
-        let partial = answered && !fresh;
-        let read = state.last_answer;
+        let current = state.confirmation.is_current(now);
+        let fresh = current && state.registry.confirms_absence(now);
+        let partial = current && !fresh;
+        let read = state.confirmation.confirmed_at().unwrap_or_default();
         let routes = self.view.borrow().routes.clone();
-        let changed = std::mem::take(&mut state.changed);
+        // A revision without a difference is published too: other processes compare it.
+        let later = state.registry.revision() != self.view.borrow().roster.revision();
+        let changed = std::mem::take(&mut state.changed) || later;
         let roster = changed.then(|| state.registry.roster(routes.published()));
         drop(state);
         self.view.send_if_modified(|view| {
@@ -187,11 +255,21 @@
         let evacuations = self.view.borrow().evacuations.clone();
         let later = evacuations.revision() > known.evacuations;
         let evacuations = later.then(|| (*evacuations).clone());
-        let roster = self.lock().registry.updates_since(known.roster);
-        KnowledgeDelta { routes, roster, evacuations }
+        let registry = &self.lock().registry;
+        let (roster, at) = (registry.updates_since(known.roster), registry.revision());
+        KnowledgeDelta { routes, roster, at, evacuations }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
+
+impl State {
+    fn position(&mut self, part: Part) -> &mut Position {
+        match part {
+            Part::Orders => &mut self.orders,
+            Part::Members => &mut self.members,
+        }
+    }
+}
--- a/daemon/src/version/packet/knowledge_delta.rs
+++ b/daemon/src/version/packet/knowledge_delta.rs
@@ -9,6 +9,7 @@
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::process::registry::RegistryUpdate;
 use lagoonhollow_lib::version::evacuations::Evacuations;
+use lagoonhollow_lib::version::revision::Revision;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_wire::transfer::Transfer;
 use lagoonhollow_wire::transfer_error::TransferError;
@@ -30,6 +31,9 @@
     pub routes: Option<Published>,
     /// The changes of registered backend servers.
     pub roster: RegistryUpdate,
+    /// The revision of the roster with these changes.
+    #[serde(default)]
+    pub at: Revision,
     /// The evacuated failure domains, if they are later.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
--- a/daemon/src/version/packet/mod.rs
+++ b/daemon/src/version/packet/mod.rs
@@ -3,3 +3,5 @@
 pub mod follow;
 pub mod knowledge;
 pub mod knowledge_delta;
+pub mod pull;
+pub mod read;
--- a/lib/src/front/packet/action.rs
+++ b/lib/src/front/packet/action.rs
@@ -8,6 +8,7 @@
 use super::message::Message;
 use crate::connection::flow::FlowKey;
 use crate::connection::segment::Packet;
+use crate::value::moment::Moment;
 
 /// A phase whose duration is measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +51,17 @@
         /// The versions that it knows.
         known: KnownVersions,
     },
+    /// Another process answered a version query.
+    Answered {
+        /// Its datagram address.
+        peer: SocketAddr,
+        /// The versions that it knows.
+        known: KnownVersions,
+        /// When the query was sent.
+        sent: Moment,
+        /// Time since which a change may be missing there; none if it can't tell.
+        age: Option<Duration>,
+    },
     /// Log a decision.
     Record(Event),
     /// Record the duration of a phase.
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -18,6 +18,7 @@
 use super::message::KnownVersions;
 use super::message::Message;
 use super::placer::Placer;
+use super::version_queries::VersionQueries;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Owner;
 use crate::connection::placement::Placement;
@@ -34,8 +35,6 @@
 
 /// Time between two removals of expired state.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between two version queries to agents of any service.
-const QUERY_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest regular time between two ticks. In what exceeds it, this process did not run,
 /// so packets of its backend server wait in the socket.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -58,7 +57,7 @@
     accepting: bool,
     ticked_at: Moment,
     heartbeat_at: Moment,
-    queried_at: Moment,
+    queries: VersionQueries,
     expired_at: Moment,
 }
 
@@ -66,6 +65,7 @@
     /// Creates an agent with an empty view.
     pub fn open(me: Identity, now: Moment) -> Self {
         let (run, complete) = (me.run, me.first_start);
+        let queries = VersionQueries::open(Some(me.link), me.link.port(), run.0, now);
         Self {
             context: AgentContext::open(me, now),
             backend: LocalBackend::open(complete, now),
@@ -77,7 +77,7 @@
             accepting: false,
             ticked_at: now,
             heartbeat_at: now,
-            queried_at: now,
+            queries,
             expired_at: now,
         }
     }
@@ -90,6 +90,9 @@
             self.claim_at_new_homes(&before, now);
         }
         let after = &self.context.view;
+        if !Arc::ptr_eq(&before.roster, &after.roster) {
+            self.queries.update(&after.roster);
+        }
         if before.fresh != after.fresh || !Arc::ptr_eq(&before.roster, &after.roster) {
             self.review_absences(now);
         }
@@ -166,6 +169,9 @@
         }
         match packet {
             Some(packet) => self.handle_relayed(from, message, packet, now),
+            None if matches!(message, Message::VersionReply { .. }) => {
+                self.handle_reply(from, known, &message, now);
+            }
             None => self.handle_control(from, message, now),
         }
     }
@@ -232,6 +238,7 @@
             self.placer.neighbours.expire(now);
             self.review_absences(now);
         }
+        self.query_versions(now);
         let service = self.backend.service(&self.context).clone();
         let others = self.context.peers(&service).len();
         let before = std::mem::replace(&mut self.accepting, self.backend.accepts_flows(now));
@@ -293,10 +300,10 @@
                 self.placer.neighbours.heard(from, neighbour);
             }
             Message::Hello => self.send_recovery(from, now),
-            Message::VersionQuery => {
-                self.context.send(from, Message::VersionReply { age_ms: None });
+            Message::VersionQuery { number } => {
+                let age_ms = self.context.view.age_ms(now);
+                self.context.send(from, Message::VersionReply { number, age_ms });
             }
-            Message::VersionReply { .. } => {}
             Message::Owned { flows } => self.backend.recover(&mut self.context, &flows, now),
             _ => self.context.tally.add(Reason::Malformed),
         }
@@ -550,17 +557,35 @@
         }
     }
 
-    /// Sends heartbeats to the other agents of the service and, if due, a
-    /// version query to a random agent of any service.
+    /// Asks observers whether this process's knowledge is current, if that is due.
+    fn query_versions(&mut self, now: Moment) {
+        if !self.queries.is_due(now) {
+            return;
+        }
+        let any = self.placer.random_member(&self.context.view.roster);
+        let any = any.map(|m| self.context.link(&m));
+        for (link, number) in self.queries.ask(&self.context.view, any, now) {
+            self.context.send(link, Message::VersionQuery { number });
+        }
+    }
+
+    /// Handles the answer to a version query.
+    fn handle_reply(
+        &mut self,
+        peer: SocketAddr,
+        known: KnownVersions,
+        message: &Message,
+        now: Moment,
+    ) {
+        let mine = self.context.known();
+        if let Some(action) = self.queries.handle_reply(peer, known, mine, message, now) {
+            self.context.act(action);
+        }
+    }
+
+    /// Sends heartbeats to the other agents of the service.
     fn send_heartbeats(&mut self, now: Moment) {
         self.heartbeat_at = now;
-        if now.since(self.queried_at) >= QUERY_INTERVAL {
-            self.queried_at = now;
-            if let Some(member) = self.placer.random_member(&self.context.view.roster) {
-                let link = self.context.link(&member);
-                self.context.send(link, Message::VersionQuery);
-            }
-        }
         let service = self.backend.service(&self.context).clone();
         let load = self.backend.load(now);
         let (run, accepting) = (self.context.me.run, self.backend.accepts_flows(now));
--- a/lib/src/front/packet/entry.rs
+++ b/lib/src/front/packet/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -13,6 +14,7 @@
 use super::event::Event;
 use super::message::KnownVersions;
 use super::message::Message;
+use super::version_queries::VersionQueries;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Hints;
 use crate::connection::hints::Owner;
@@ -31,10 +33,6 @@
 const MAX_HOMES: usize = 3;
 /// Time for which a home that did not answer is skipped.
 const SUSPECT_TIME: Duration = Duration::from_secs(1);
-/// Time between two rounds of version queries to agents.
-const QUERY_INTERVAL: Duration = Duration::from_millis(500);
-/// Agents queried in one round.
-const QUERY_FANOUT: usize = 2;
 /// Time between two removals of unused hints.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time for which an unused hint is kept, also before the first routes
@@ -51,7 +49,7 @@
     unrouted: UnroutedFlows,
     suspects: HashMap<SocketAddr, Moment>,
     expired_at: Moment,
-    queried_at: Moment,
+    queries: VersionQueries,
     rng: Pcg64Mcg,
     tally: Tally,
     actions: Vec<Action>,
@@ -69,7 +67,7 @@
             unrouted: UnroutedFlows::default(),
             suspects: HashMap::new(),
             expired_at: now,
-            queried_at: now,
+            queries: VersionQueries::open(None, port, seed, now),
             rng: Pcg64Mcg::seed_from_u64(seed),
             tally: Tally::default(),
             actions: Vec::new(),
@@ -78,6 +76,9 @@
 
     /// Applies the routes and the roster that the process knows now.
     pub fn update_view(&mut self, view: View) {
+        if !Arc::ptr_eq(&view.roster, &self.view.roster) {
+            self.queries.update(&view.roster);
+        }
         self.view = view;
     }
 
@@ -158,7 +159,10 @@
             }
             Message::Accepted { flow } => self.unrouted.end(&flow),
             Message::NotOwner { flow } => self.hints.remove(&flow, from),
-            Message::VersionReply { .. } => {}
+            Message::VersionReply { .. } => {
+                let mine = self.known();
+                self.actions.extend(self.queries.handle_reply(from, known, mine, &message, now));
+            }
             _ => self.tally.add(Reason::WrongService),
         }
     }
@@ -171,10 +175,7 @@
             }
             self.try_home(unrouted, now);
         }
-        if now.since(self.queried_at) >= QUERY_INTERVAL {
-            self.queried_at = now;
-            self.query_versions();
-        }
+        self.query_versions(now);
         if now.since(self.expired_at) >= EXPIRE_INTERVAL {
             self.expired_at = now;
             let idle = self.view.routes.published().idle.max(MIN_IDLE_TIME);
@@ -183,19 +184,15 @@
         }
     }
 
-    /// Queries some agents for their versions: this process may be unable to
-    /// reach the source of routes and roster.
-    fn query_versions(&mut self) {
-        let roster = self.view.roster.clone();
-        for _ in 0..QUERY_FANOUT {
-            if let Some(member) = roster.members().choose(&mut self.rng) {
-                let to = self.link(member);
-                self.actions.push(Action::Send {
-                    to,
-                    message: Message::VersionQuery,
-                    packet: None,
-                });
-            }
+    /// Asks observers whether this process's knowledge is current, if that is due.
+    fn query_versions(&mut self, now: Moment) {
+        if !self.queries.is_due(now) {
+            return;
+        }
+        let any = self.view.roster.members().choose(&mut self.rng).map(|m| self.link(m));
+        for (to, number) in self.queries.ask(&self.view, any, now) {
+            let message = Message::VersionQuery { number };
+            self.actions.push(Action::Send { to, message, packet: None });
         }
     }
 
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -132,9 +132,14 @@
     },
     /// Asks for the versions that the receiver knows; the answer carries them
     /// as every message does.
-    VersionQuery,
+    VersionQuery {
+        /// Number of the query, which the answer repeats.
+        number: u32,
+    },
     /// Answers [`Message::VersionQuery`].
     VersionReply {
+        /// Number of the query.
+        number: u32,
         /// Time in milliseconds since the sender's knowledge was certainly that of the
         /// source; none if the sender can't tell, or entries may be missing.
         age_ms: Option<u16>,
--- a/lib/src/front/packet/mod.rs
+++ b/lib/src/front/packet/mod.rs
@@ -19,4 +19,5 @@
 pub mod message;
 pub mod placer;
 pub mod probes;
+pub mod version_queries;
 pub mod waiting;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod action;
 pub mod agent;
+pub mod confirmation;
 pub mod context;
 pub mod flow_location;
 pub mod gauges;
@@ -14,6 +15,7 @@
 pub mod message;
 pub mod neighbours;
 pub mod notice;
+pub mod observers;
 pub mod own_entry;
 pub mod pause_detector;
 pub mod peers;
--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -63,7 +63,8 @@
     pub entries: Vec<Entry>,
 }
 
-/// Update for a process that knows an earlier revision.
+/// Update for a process that knows an earlier revision; it brings that process to the
+/// revision of the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RegistryUpdate {
     /// All entries, for a process that knows none or an old revision.
@@ -109,6 +110,18 @@
         }
     }
 
+    /// Records that a process which lacks no entry confirmed the same revision.
+    pub fn vouched(&mut self) {
+        self.failing = false;
+    }
+
+    /// Records that the entries are those of `revision`, after all changes up to it.
+    pub fn advance(&mut self, revision: Revision) {
+        if revision.epoch == self.revision.epoch {
+            self.revision = self.revision.max(revision);
+        }
+    }
+
     /// Applies changes; returns whether any was new.
     pub fn change(&mut self, changes: Vec<Change>, now: Moment) -> bool {
         let mut changed = false;
@@ -130,6 +143,7 @@
             return false;
         }
         let restored = revision.epoch > self.revision.epoch;
+        let first = self.revision.number == 0;
         if restored {
             self.begin_epoch(revision.epoch, now);
         }
@@ -138,7 +152,13 @@
         let removed = |name| Change::Removed { name, revision };
         let mut changes: Vec<_> = missing.into_iter().map(removed).collect();
         changes.extend(entries.into_iter().map(Change::Set));
-        self.change(changes, now) || restored
+        let changed = self.change(changes, now) || restored;
+        // Processes with the same revision know the same entries, so one that does not know
+        // which change was the last takes the revision of the listing.
+        if first || changed {
+            self.advance(revision);
+        }
+        changed
     }
 
     /// Begins an epoch of the source, which has lost entries. Backend servers write them
--- a/lib/src/process/view.rs
+++ b/lib/src/process/view.rs
@@ -18,13 +18,13 @@
     pub roster: Arc<Roster>,
     /// The failure domains whose backend servers must get no new flows.
     pub evacuations: Arc<Evacuations>,
-    /// Whether the source of both answers, so that a missing backend server is
+    /// Whether the knowledge is certainly current, so that a missing backend server is
     /// known to be gone.
     pub fresh: bool,
     /// Whether the source has just come back, so that backend servers may be missing that
     /// are about to register again.
     pub partial: bool,
-    /// When the source last answered.
+    /// Time up to which no change of the source is missing.
     pub read_at: Moment,
 }
 
@@ -34,4 +34,12 @@
     pub fn has_roster(&self) -> bool {
         self.roster.revision() != Revision::default()
     }
+
+    /// Returns the time in milliseconds since a change of the source may be missing, none if
+    /// it is unknown or backend servers may be missing.
+    pub fn age_ms(&self, now: Moment) -> Option<u16> {
+        // Rounded up, so that no later time is confirmed than is known.
+        let age = now.since(self.read_at).as_micros().div_ceil(1_000);
+        u16::try_from(age).ok().filter(|_| self.fresh)
+    }
 }
--- a/lib/tests/registry.rs
+++ b/lib/tests/registry.rs
@@ -315,3 +315,23 @@
     assert_eq!(roster(vec![route("t", vec!["s".into()])]), 1);
     assert_eq!(registry.roster(&Published::default()).members().len(), 1);
 }
+
+/// Guards against processes with the same revision and different entries, which would confirm
+/// each other wrongly: a process that starts does not see what was removed before.
+#[test]
+fn the_same_revision_means_the_same_entries() {
+    let (x, y) = (entry("x", "s", 1, 33), entry("y", "s", 1, 35));
+    let listing = |number, entries: Vec<Entry>| listing(Revision { epoch: 0, number }, &entries);
+    let mut lagging = Registry::default();
+    lagging.replace(listing(36, vec![x, y.clone()]), NOW);
+    let mut started = Registry::default();
+    started.replace(listing(44, vec![y.clone()]), NOW);
+    assert!(started.revision() > lagging.revision());
+    let update = started.updates_since(lagging.revision());
+    lagging.learn(update, NOW);
+    lagging.advance(started.revision());
+    assert_eq!(lagging.revision(), started.revision());
+    // A later listing without a difference does not look like a change.
+    started.replace(listing(90, vec![y]), NOW);
+    assert_eq!(started.revision(), lagging.revision());
+}
--- a/testutils/src/packets/store.rs
+++ b/testutils/src/packets/store.rs
@@ -1,6 +1,7 @@
 //! A test double of the platform's store, with its HTTP interface.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,6 +12,7 @@
 use base64::engine::general_purpose::STANDARD;
 use ntex::http::StatusCode;
 use ntex::web;
+use ntex::web::HttpRequest;
 use ntex::web::HttpResponse;
 use ntex::web::types::Query;
 use ntex::web::types::State;
@@ -61,6 +63,10 @@
     fault: StoreFault,
     page_size: usize,
     calls: u64,
+    // How often all open connections went silent, and that number at the first request of
+    // each connection.
+    silenced: u64,
+    connections: HashMap<SocketAddr, u64>,
 }
 
 /// Handle of a running store; clones share it.
@@ -104,6 +110,8 @@
             fault: StoreFault::None,
             page_size: 2,
             calls: 0,
+            silenced: 0,
+            connections: HashMap::new(),
         };
         let store = Self { data: Arc::new(Mutex::new(data)), changed: Arc::default() };
         let (bound, result) = std::sync::mpsc::channel();
@@ -186,6 +194,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes all open connections silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        self.lock().silenced += 1;
+    }
+
     /// Sets the largest number of items in one answer.
     pub fn set_page_size(&self, items: usize) {
         self.lock().page_size = items;
@@ -238,14 +251,25 @@
         self.data.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Returns whether the connection of a request has gone silent.
+    fn is_silent(&self, request: &HttpRequest) -> bool {
+        let mut data = self.lock();
+        let silenced = data.silenced;
+        let peer = request.peer_addr();
+        peer.is_some_and(|peer| *data.connections.entry(peer).or_insert(silenced) < silenced)
+    }
+
     /// Counts a request and applies the simulated fault; returns the answer if the
     /// fault determines it.
-    async fn begin_call(&self) -> Option<HttpResponse> {
+    async fn begin_call(&self, request: &HttpRequest) -> Option<HttpResponse> {
         let (fault, era) = {
             let mut data = self.lock();
             data.calls += 1;
             (data.fault, data.era)
         };
+        if self.is_silent(request) {
+            return std::future::pending().await;
+        }
         match fault {
             StoreFault::None => None,
             StoreFault::Status(status) => {
@@ -290,8 +314,12 @@
     }
 }
 
-async fn get_key(store: State<Store>, query: Query<KeyQuery>) -> HttpResponse {
-    if let Some(answer) = store.begin_call().await {
+async fn get_key(
+    request: HttpRequest,
+    store: State<Store>,
+    query: Query<KeyQuery>,
+) -> HttpResponse {
+    if let Some(answer) = store.begin_call(&request).await {
         return answer;
     }
     let data = store.lock();
@@ -304,8 +332,12 @@
     }
 }
 
-async fn get_range(store: State<Store>, query: Query<RangeQuery>) -> HttpResponse {
-    if let Some(answer) = store.begin_call().await {
+async fn get_range(
+    request: HttpRequest,
+    store: State<Store>,
+    query: Query<RangeQuery>,
+) -> HttpResponse {
+    if let Some(answer) = store.begin_call(&request).await {
         return answer;
     }
     let data = store.lock();
@@ -317,14 +349,21 @@
     data.answer_json(&answer)
 }
 
-async fn watch_prefix(store: State<Store>, query: Query<WatchQuery>) -> HttpResponse {
-    if let Some(answer) = store.begin_call().await {
+async fn watch_prefix(
+    request: HttpRequest,
+    store: State<Store>,
+    query: Query<WatchQuery>,
+) -> HttpResponse {
+    if let Some(answer) = store.begin_call(&request).await {
         return answer;
     }
     let end = Instant::now() + Duration::from_millis(query.wait_ms.min(30_000));
     let era = store.lock().era;
     loop {
         let changed = store.changed.notified();
+        if store.is_silent(&request) {
+            std::future::pending::<()>().await;
+        }
         {
             let data = store.lock();
             // The store cuts the watches of an earlier era when it goes away.
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -629,7 +629,7 @@
                     }
                 }
                 Action::Record(event) => self.events.push((self.now, link, event)),
-                Action::Measured(..) => {}
+                Action::Measured(..) | Action::Answered { .. } => {}
             }
         }
     }
