--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -21,6 +21,7 @@
 use super::placer::Placer;
 use super::run_evidence::RunEvidence;
 use super::unsure_answers::Question;
+use super::version_queries::VersionQueries;
 use crate::connection::flow::FlowKey;
 use crate::connection::hints::Owner;
 use crate::connection::placement::Placement;
@@ -40,8 +41,6 @@
 
 /// Time between two removals of expired state.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between two version queries to agents of any service.
-const QUERY_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest regular time between two ticks. In what exceeds it, this process did not run,
 /// so packets of its backend server wait in the socket.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,7 +65,7 @@
     accepting: bool,
     ticked_at: Moment,
     heartbeat_at: Moment,
-    queried_at: Moment,
+    queries: VersionQueries,
     expired_at: Moment,
 }
 
@@ -74,6 +73,7 @@
     /// Creates an agent with an empty view.
     pub fn open(me: Identity, now: Moment) -> Self {
         let run = me.run;
+        let queries = VersionQueries::open(Some(me.link), me.link.port(), run.0, now);
         Self {
             backend: LocalBackend::open(&me, now),
             context: AgentContext::open(me, now),
@@ -87,7 +87,7 @@
             accepting: false,
             ticked_at: now,
             heartbeat_at: now,
-            queried_at: now,
+            queries,
             expired_at: now,
         }
     }
@@ -112,6 +112,9 @@
             self.claim_at_new_homes(&before, now);
         }
         let after = &self.context.view;
+        if !Arc::ptr_eq(&before.roster, &after.roster) {
+            self.queries.update(&after.roster);
+        }
         if before.fresh != after.fresh || !Arc::ptr_eq(&before.roster, &after.roster) {
             self.review_absences(now);
         }
@@ -196,6 +199,9 @@
         }
         match packet {
             Some(packet) => self.handle_relayed(from, message, packet, now),
+            None if matches!(message, Message::VersionReply { .. }) => {
+                self.handle_reply(from, known, &message, now);
+            }
             None => self.handle_control(from, message, now),
         }
     }
@@ -266,6 +272,7 @@
             self.placer.cold.expire(now);
             self.review_absences(now);
         }
+        self.query_versions(now);
         let service = self.backend.service(&self.context).clone();
         let others = self.context.peers(&service).len();
         let before = std::mem::replace(&mut self.accepting, self.backend.accepts_flows(now));
@@ -330,10 +337,10 @@
                 self.placer.cold.report(from, load.openings, now);
             }
             Message::Hello => self.send_recovery(from, now),
-            Message::VersionQuery => {
-                self.context.send(from, Message::VersionReply { age_ms: None });
+            Message::VersionQuery { number } => {
+                let age_ms = self.context.view.age_ms(now);
+                self.context.send(from, Message::VersionReply { number, age_ms });
             }
-            Message::VersionReply { .. } => {}
             Message::RunQuery { run, token, age_ms } => {
                 let started = now - Duration::from_millis(age_ms.into());
                 let earlier = self.evidence.known.heard(from, run, now)
@@ -648,17 +655,35 @@
         }
     }
 
-    /// Sends heartbeats to the other agents of the service and, if due, a
-    /// version query to a random agent of any service.
+    /// Asks observers whether this process's knowledge is current, if that is due.
+    fn query_versions(&mut self, now: Moment) {
+        if !self.queries.is_due(now) {
+            return;
+        }
+        let any = self.placer.random_member(&self.context.view.roster);
+        let any = any.map(|m| self.context.link(&m));
+        for (link, number) in self.queries.ask(&self.context.view, any, now) {
+            self.context.send(link, Message::VersionQuery { number });
+        }
+    }
+
+    /// Handles the answer to a version query.
+    fn handle_reply(
+        &mut self,
+        peer: SocketAddr,
+        known: KnownVersions,
+        message: &Message,
+        now: Moment,
+    ) {
+        let mine = self.context.known();
+        if let Some(action) = self.queries.handle_reply(peer, known, mine, message, now) {
+            self.context.act(action);
+        }
+    }
+
+    /// Sends heartbeats to the other agents of the service.
     fn send_heartbeats(&mut self, now: Moment) {
         self.heartbeat_at = now;
-        if now.since(self.queried_at) >= QUERY_INTERVAL {
-            self.queried_at = now;
-            if let Some(member) = self.placer.random_member(&self.context.view.roster) {
-                let link = self.context.link(&member);
-                self.context.send(link, Message::VersionQuery);
-            }
-        }
         let service = self.backend.service(&self.context).clone();
         let load = self.backend.load(now);
         let (run, accepting) = (self.context.me.run, self.backend.accepts_flows(now));
--- a/lib/src/front/packet/mod.rs
+++ b/lib/src/front/packet/mod.rs
@@ -23,4 +23,5 @@
 pub mod run_evidence;
 pub mod shortage;
 pub mod unsure_answers;
+pub mod version_queries;
 pub mod waiting;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod action;
 pub mod agent;
 pub mod cold_backends;
+pub mod confirmation;
 pub mod context;
 pub mod ended_runs;
 pub mod first_run;
@@ -18,6 +19,7 @@
 pub mod message;
 pub mod neighbours;
 pub mod notice;
+pub mod observers;
 pub mod own_entry;
 pub mod pause_detector;
 pub mod peers;
--- a/lib/tests/dropped_routes.rs
+++ b/lib/tests/dropped_routes.rs
@@ -76,7 +76,12 @@
     assert!(!resets(&mut entry, 2_000));
     // An agent names a later version, so this one is not the last, whenever it was read.
     let known = KnownVersions { routes: 3, ..KnownVersions::default() };
-    entry.handle_message(AGENT, known, Message::VersionReply { age_ms: None }, Moment(0));
+    entry.handle_message(
+        AGENT,
+        known,
+        Message::VersionReply { number: 0, age_ms: None },
+        Moment(0),
+    );
     entry.update_view(View { read_at: Moment::from_millis(2_500), ..view.clone() });
     assert!(!resets(&mut entry, 3_000));
     let routes = Arc::new(routes(3, true, &view.routes));
