--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -220,13 +220,13 @@
         let name = entry.member.name.clone();
         let known = self.present.get(&name);
         let last = known.map(|e| e.revision).or(self.removed.get(&name).copied());
-        let peer = known.filter(|e| e.revision.epoch == entry.revision.epoch);
+        let present = known.filter(|e| e.revision.epoch == entry.revision.epoch);
         let run = entry.member.run();
-        if peer.is_some_and(|known| run < known.member.run()) {
+        if present.is_some_and(|known| run < known.member.run()) {
             self.revision = self.revision.max(entry.revision);
             return false;
         }
-        let advances = peer.is_some_and(|known| run > known.member.run());
+        let advances = present.is_some_and(|known| run > known.member.run());
         if last.is_some_and(|last| entry.revision < last) && !advances {
             return false;
         }
