--- a/daemon/src/process/packet/decision_log.rs
+++ b/daemon/src/process/packet/decision_log.rs
@@ -40,9 +40,10 @@
             None => (absent(), absent()),
         };
         let peer = event.peer.map_or_else(absent, |p| p.ip().to_string());
+        let drawn = event.service.as_ref().map_or_else(absent, |s| s.to_string());
         let KnownVersions { routes, roster, evacuations } = known;
         spdlog::log!(level(event.decision), "{}", event.decision, kv: {
-            caller, service, reason, peer, value = event.value, routes, roster:, evacuations:
+            caller, service, drawn, reason, peer, value = event.value, routes, roster:, evacuations:
         });
     }
 
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use crate::connection::flow::FlowKey;
+use crate::value::name::Name;
 use crate::value::reason::Reason;
 
 /// What was decided.
@@ -52,7 +53,7 @@
 }
 
 /// A decision with the facts that it was based on.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Event {
     /// What was decided.
     pub decision: Decision,
@@ -60,6 +61,8 @@
     pub reason: Option<Reason>,
     /// The flow.
     pub flow: Option<FlowKey>,
+    /// The service that was drawn for a new flow.
+    pub service: Option<Name>,
     /// The other process that is involved.
     pub peer: Option<SocketAddr>,
     /// A number that it was based on: microseconds, a count, a version or, for
@@ -70,7 +73,7 @@
 impl Event {
     /// Creates an event about a decision.
     pub fn of(decision: Decision) -> Self {
-        Self { decision, reason: None, flow: None, peer: None, value: 0 }
+        Self { decision, reason: None, flow: None, service: None, peer: None, value: 0 }
     }
 
     /// Adds the reason.
@@ -83,6 +86,11 @@
         Self { flow: Some(flow), ..self }
     }
 
+    /// Adds the service that was drawn.
+    pub fn service(self, service: Name) -> Self {
+        Self { service: Some(service), ..self }
+    }
+
     /// Adds the other process.
     pub fn peer(self, peer: SocketAddr) -> Self {
         Self { peer: Some(peer), ..self }
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -91,7 +91,8 @@
             0 => Event::of(Decision::Placed),
             _ => Event::of(Decision::Replaced).reason(Reason::RetryElsewhere),
         };
-        context.record(decision.flow(flow).peer(link).value(cost as u64));
+        let decision = decision.flow(flow).service(placement.service.clone());
+        context.record(decision.peer(link).value(cost as u64));
         placement.offer(link, now + OFFER_TIMEOUT);
         if link == context.me.link {
             backend.offer(context, &placement.packet, placement.entry, None, now);
