Show evacuations and cold backend servers in the status

/status and lagoonhollow status list the evacuated failure domains with revision and time known, the age of the process's knowledge, and the rate and remaining time of a cold backend server; gauges for the same.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -179,6 +179,17 @@
             let held = status.held.iter().map(|(name, n)| format!("\n  holds {n:>8} {name}"));
             let reasons = status.reasons.iter().map(|(name, n)| format!("\n  count {n:>8} {name}"));
             text.extend(held.chain(reasons));
+            text.extend(status.evacuations.iter().map(|e| {
+                let (domain, revision, ms) = (&e.domain, &e.revision, e.known_for_ms);
+                format!("\n  evacuated {domain} since revision {revision}, known for {ms} ms")
+            }));
+            if let Some(ms) = status.knowledge_age_ms {
+                text += &format!("\n  knowledge confirmed {ms} ms ago");
+            }
+            if let Some(cold) = &status.cold {
+                let (rate, ms) = (cold.rate, cold.left_ms);
+                text += &format!("\n  backend server cold for {ms} ms, bears {rate} requests/s");
+            }
             CommandOutput::success(text, &status)
         }
         Err(problem) => CommandOutput::failure(problem),
--- a/daemon/src/connection/packet/agent.rs
+++ b/daemon/src/connection/packet/agent.rs
@@ -140,6 +140,7 @@
                 metrics.add(agent.tally());
                 metrics.flows.set(agent.flows() as i64);
                 metrics.records.set(agent.records() as i64);
+                metrics.set_cold(agent.cold(now).map(|(rate, until)| (rate, until.since(now))));
                 next_tick = Instant::now() + IDLE_TICK;
             }
         }
--- a/daemon/src/process/admin.rs
+++ b/daemon/src/process/admin.rs
@@ -98,6 +98,9 @@
             ready: state == Serving::NAME && version > 0,
             held: held.map(|(name, n)| (name.to_owned(), n as u64)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+            evacuations: Vec::new(),
+            knowledge_age_ms: None,
+            cold: None,
         }
     }
 
--- a/daemon/src/process/packet/metrics.rs
+++ b/daemon/src/process/packet/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of a process of the packet front end.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use lagoonhollow_lib::front::packet::action::Phase;
@@ -59,6 +60,12 @@
     pub flows: Gauge,
     /// Flows that this process records as their home.
     pub records: Gauge,
+    /// Evacuated failure domains.
+    pub evacuations: Gauge,
+    // Time in milliseconds for which the backend server is still cold and limited.
+    cold: Gauge,
+    // Requests a second that it bears meanwhile.
+    warm_up_rate: Gauge<f64, AtomicU64>,
     opening: Histogram,
     held: Histogram,
     service: Histogram,
@@ -98,6 +105,11 @@
         let ready = gauge("ready", "Whether packets are taken");
         let flows = gauge("flows", "Flows remembered or served");
         let records = gauge("records", "Flows recorded as their home");
+        let evacuations = gauge("evacuations", "Evacuated failure domains");
+        let cold = gauge("cold_milliseconds", "Time for which the backend server is still cold");
+        let warm_up_rate = Gauge::default();
+        let help = "Requests a second that the cold backend server bears";
+        registry.register("warm_up_rate", help, warm_up_rate.clone());
         let mut histogram = |name: &str, help: &str| {
             let histogram = Histogram::new(BUCKETS);
             registry.register(name, help, histogram.clone());
@@ -128,6 +140,9 @@
             ready,
             flows,
             records,
+            evacuations,
+            cold,
+            warm_up_rate,
             opening,
             held,
             service,
@@ -149,6 +164,20 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Records the rate that the backend server bears and how long it is still cold, if it is.
+    pub fn set_cold(&self, cold: Option<(f64, Duration)>) {
+        let (rate, left) = cold.unwrap_or_default();
+        self.warm_up_rate.set(rate);
+        self.cold.set(left.as_millis() as i64);
+    }
+
+    /// Returns the rate that the backend server bears and the time in milliseconds for which
+    /// it is still cold, if it is.
+    pub fn cold(&self) -> Option<(f64, u64)> {
+        let left = u64::try_from(self.cold.get()).ok().filter(|ms| *ms > 0)?;
+        Some((self.warm_up_rate.get(), left))
+    }
+
     /// Adds the counts of a tally, which is emptied.
     pub fn add(&self, tally: &mut Tally) {
         self.reasons.add(tally);
--- a/daemon/src/process/packet/mod.rs
+++ b/daemon/src/process/packet/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod daemon;
 pub mod decision_log;
+pub mod evacuation_log;
 pub mod metrics;
 pub mod settings;
 pub mod shared;
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -2,22 +2,26 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 use lagoonhollow_lib::process::lifecycle::Lifecycle;
 use lagoonhollow_lib::process::lifecycle::Serving;
 use lagoonhollow_lib::process::lifecycle::Starting;
 use lagoonhollow_lib::process::lifecycle::State as LifeState;
+use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_platform::error::StoreError;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::evacuation_log::EvacuationLog;
 use super::metrics::PacketMetrics;
 use super::settings::PacketSettings;
 use super::settings::Role;
 use super::traffic_queues::Command;
 use crate::process::clock::Clock;
+use crate::process::status::ColdStatus;
 use crate::process::status::Status;
 use crate::version::packet::knowledge::Knowledge;
 
@@ -45,6 +49,7 @@
     pub traffic: mpsc::Sender<Command>,
     // Only the control thread and the admin server take this lock.
     state: Mutex<&'static str>,
+    evacuations: Mutex<EvacuationLog>,
 }
 
 impl Shared {
@@ -69,6 +74,7 @@
             members_transfer: tokio::sync::Mutex::default(),
             traffic,
             state,
+            evacuations: Mutex::default(),
         }
     }
 
@@ -105,6 +111,8 @@
         let view = self.knowledge.view();
         self.metrics.roster.set(view.roster.revision().number as i64);
         self.metrics.members.set(view.roster.members().len() as i64);
+        self.metrics.evacuations.set(view.evacuations.domains().count() as i64);
+        self.lock_evacuations().update(&view.evacuations, self.clock.now());
         self.update_readiness();
     }
 
@@ -155,6 +163,9 @@
         ];
         let reasons = self.metrics.reasons();
         let (state, ready) = (self.state(), self.is_ready());
+        let (now, view) = (self.clock.now(), self.knowledge.view());
+        let cold = self.metrics.cold().map(|(rate, left_ms)| ColdStatus { rate, left_ms });
+        let known = view.read_at > Moment::default();
         Status {
             name: self.settings.name.to_string(),
             role: role.to_owned(),
@@ -164,9 +175,16 @@
             ready,
             held: held.map(|(name, n)| (name.to_owned(), n)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+            evacuations: self.lock_evacuations().status(now),
+            knowledge_age_ms: known.then(|| now.since(view.read_at).as_millis() as u64),
+            cold,
         }
     }
 
+    fn lock_evacuations(&self) -> MutexGuard<'_, EvacuationLog> {
+        self.evacuations.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn state(&self) -> &'static str {
         *self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/daemon/src/process/status.rs
+++ b/daemon/src/process/status.rs
@@ -24,6 +24,36 @@
     pub held: BTreeMap<String, u64>,
     /// Nonzero counts of refusals, drops and retries, by reason.
     pub reasons: BTreeMap<String, u64>,
+    /// Evacuated failure domains, as this process knows them.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationStatus>,
+    /// Time in milliseconds since the source last confirmed what this process knows; none
+    /// before its first answer.
+    #[serde(default)]
+    pub knowledge_age_ms: Option<u64>,
+    /// Warm-up limit of the backend server, if one applies now.
+    #[serde(default)]
+    pub cold: Option<ColdStatus>,
+}
+
+/// An evacuated failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The failure domain.
+    pub domain: String,
+    /// Revision of the order.
+    pub revision: String,
+    /// Time in milliseconds for which this process has known it.
+    pub known_for_ms: u64,
+}
+
+/// A cold backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStatus {
+    /// Requests a second that it bears.
+    pub rate: f64,
+    /// Time in milliseconds for which it is still cold.
+    pub left_ms: u64,
 }
 
 /// Explanation of where a flow goes.
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -4,6 +4,7 @@
 
 use lagoonhollow_daemon::process::configuration::Configuration;
 use lagoonhollow_daemon::process::packet::settings::Role;
+use lagoonhollow_lib::request::warm_up::Allowance;
 use lagoonhollow_testutils::property::holds;
 
 const AGENT: &str = "[process]\nfront = packets\nrole = agent\nname = a\ndomain = d\n\
@@ -37,6 +38,26 @@
     assert!(findings.contains("[fleet] drain_limit_ms"), "{findings}");
 }
 
+/// An unset limit that was taken for a limit of 0.
+#[test]
+fn the_warm_up_limit_applies_only_if_it_is_set() {
+    let allowance = |more: &str| {
+        let text = AGENT.replace("[fleet]", &format!("{more}[fleet]"));
+        let Ok(Configuration::Packets(settings)) = Configuration::parse("f", &text) else {
+            panic!("not read as packets");
+        };
+        let Role::Agent(role) = settings.role else { panic!("not read as an agent") };
+        role.allowance
+    };
+    assert_eq!(allowance(""), None);
+    let both = allowance("warmup_overage = 1.5\nwarmup_slack = 5\n");
+    assert_eq!(both, Some(Allowance { overage: 1.5, slack: 5.0 }));
+    assert_eq!(allowance("warmup_slack = 5\n"), Some(Allowance { overage: 1.0, slack: 5.0 }));
+    let text = AGENT.replace("[fleet]", "warmup_overage = NaN\n[fleet]");
+    let findings = Configuration::parse("f", &text).unwrap_err().to_string();
+    assert!(findings.contains("[backend] warmup_overage"), "{findings}");
+}
+
 #[test]
 fn every_finding_is_reported_with_its_line() {
     let text = AGENT
