Check evacuations and the warm-up limit in the soak

From seed 400 on, the services of a soak's site state a warm-up limit, and a failure domain is evacuated for 6 to 9 s, whose backend servers return cold. The end of the keep-alive connection counts as the possible end of a run, so that the next connection begins a cold period; before, an agent that had not yet seen a warm entry ignored it.

--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -68,6 +68,8 @@
     Isolate { node: Node, direction: Direction, span: Duration },
     /// Datagrams between all processes are delayed, and the share `loss` is lost.
     Lossy { loss: f64, delay: Duration, span: Duration },
+    /// A failure domain is evacuated for `span`; its backend servers are cold afterwards.
+    Evacuate { domain: u8, span: Duration },
     /// A new version of the routes is published.
     Publish,
     /// The settings file of a process changes; with `signal`, SIGHUP follows.
@@ -90,6 +92,13 @@
     (millis(rng, 300, FAULT_WINDOW.as_millis() as u64), fault)
 }
 
+/// Draws the evacuation of one of the two failure domains.
+pub fn draw_evacuation(rng: &mut Pcg64Mcg) -> (Duration, Fault) {
+    // Long enough for the order to be in force everywhere.
+    let fault = Fault::Evacuate { domain: rng.random_range(0..2), span: millis(rng, 6_000, 9_000) };
+    (millis(rng, 300, FAULT_WINDOW.as_millis() as u64), fault)
+}
+
 fn draw_fault(size: Size, rng: &mut Pcg64Mcg) -> Fault {
     let i = rng.random_range(0..size.agents);
     let span = millis(rng, 500, 4_500);
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -17,6 +17,7 @@
 
 use crate::daemon::Daemon;
 use crate::fault::Node;
+use crate::run::FIRST_EVACUATION_SEED;
 
 /// A fleet shared by the tasks of one thread.
 pub type Shared = Rc<RefCell<Fleet>>;
@@ -59,6 +60,9 @@
     pub run: u64,
 }
 
+/// Time for which backend servers are cold after an evacuation.
+const COLD_TIME: Duration = Duration::from_secs(6);
+
 /// The fleet with its store, its network and its backend servers.
 pub struct Fleet {
     pub size: Size,
@@ -79,6 +83,7 @@
         let monitor = Monitor::open(site.services(), timed);
         let entries = (0..size.entries).map(|i| Node { entry: true, i });
         let agents = (0..size.agents).map(|i| Node { entry: false, i });
+        let site = if seed >= FIRST_EVACUATION_SEED { site.warming_up() } else { site };
         let nodes: Vec<_> = entries.chain(agents).collect();
         let endpoints: Vec<_> = nodes.iter().map(|n| site.endpoints(n.entry, n.i)).collect();
         let proxy = UdpProxy::bind(&endpoints, seed).await.expect("the proxy is bound");
@@ -179,6 +184,19 @@
         }
     }
 
+    /// Writes entries which state that the backend servers of a failure domain are cold.
+    pub fn cool(&mut self, domain: &Name) {
+        for i in 0..self.size.agents {
+            let host = &mut self.hosts[usize::from(i)];
+            if host.backend.is_some() && host.member.domain == *domain {
+                host.member.warming = COLD_TIME;
+                let limit = Site::WARM_UP_LIMIT;
+                self.monitor.record_cold(&host.member, limit, COLD_TIME / 2, COLD_TIME);
+                self.register(i);
+            }
+        }
+    }
+
     /// Writes the entry of a backend server to the store.
     pub fn register(&self, i: u8) {
         let member = &self.hosts[usize::from(i)].member;
@@ -209,6 +227,11 @@
     let seed = member.born << 8 | u64::from(i);
     let bound = LiveBackend::bind(member, site.outbound(i), seed, monitor).await;
     let mut fleet = fleet.borrow_mut();
+    if site.warms_up() {
+        let member = &fleet.hosts[usize::from(i)].member;
+        let (limit, time) = (Site::WARM_UP_LIMIT, Site::WARM_UP_TIME);
+        fleet.monitor.record_cold(member, limit, Duration::ZERO, time);
+    }
     fleet.hosts[usize::from(i)].backend = Some(bound.expect("the backend server is bound"));
     fleet.register(i);
 }
--- a/daemon/tests/soak/inject.rs
+++ b/daemon/tests/soak/inject.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lagoonhollow_lib::value::name::Name;
 use lagoonhollow_lib::version::member::MemberState;
 use lagoonhollow_testutils::packets::store::StoreFault;
 use lagoonhollow_testutils::packets::tcp_proxy::ProxyMode;
@@ -25,13 +26,19 @@
 const STOP_LIMIT: Duration = Duration::from_secs(6);
 /// The same limit if the machine may be overloaded.
 const OVERLOAD_LIMIT: Duration = Duration::from_secs(60);
+/// Time from the entries that state that backend servers are cold to the withdrawal of an
+/// evacuation, in which they are read.
+const COLD_LEAD: Duration = Duration::from_secs(3);
 /// Time between two checks of a process that stops.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Injects one fault and returns when it is over.
 pub async fn inject(fault: Fault, fleet: Shared) {
     let monitor = fleet.borrow().monitor.clone();
-    let planned = matches!(fault, Fault::Publish | Fault::Release { .. } | Fault::Stop { .. });
+    let planned = matches!(
+        fault,
+        Fault::Publish | Fault::Release { .. } | Fault::Stop { .. } | Fault::Evacuate { .. }
+    );
     if !planned {
         monitor.record_fault();
     }
@@ -73,6 +80,7 @@
             fleet.borrow().proxy.set_loss(0.0);
             fleet.borrow().proxy.set_delay(Duration::ZERO);
         }
+        Fault::Evacuate { domain, span } => evacuate(&fleet, domain, span).await,
         Fault::Publish => fleet.borrow_mut().publish(),
         Fault::Settings { node, signal } => {
             if let Some(daemon) = &fleet.borrow_mut().vm(node).daemon {
@@ -190,6 +198,20 @@
     }
 }
 
+/// Evacuates a failure domain for `span`, after which its backend servers are cold.
+async fn evacuate(fleet: &Shared, domain: u8, span: Duration) {
+    let (store, monitor) = (fleet.borrow().store.clone(), fleet.borrow().monitor.clone());
+    let name: Name = format!("d-{domain}").into();
+    let key = format!("op/evacuate/{name}");
+    store.put(&key, b"{}");
+    monitor.record_orders(std::slice::from_ref(&name));
+    sleep(span).await;
+    fleet.borrow_mut().cool(&name);
+    sleep(COLD_LEAD).await;
+    store.remove(&key);
+    monitor.record_orders(&[]);
+}
+
 fn slow_down(fleet: &Shared, i: u8, by: f64) {
     if let Some(backend) = &fleet.borrow().hosts[usize::from(i)].backend {
         backend.set_slowdown(by);
--- a/daemon/tests/soak/run.rs
+++ b/daemon/tests/soak/run.rs
@@ -20,6 +20,7 @@
 
 use crate::fault::Node;
 use crate::fault::draw;
+use crate::fault::draw_evacuation;
 use crate::fault::draw_restore;
 use crate::fleet::Fleet;
 use crate::fleet::Shared;
@@ -45,6 +46,9 @@
 /// First seed in whose run the store comes back from a copy as well.
 const FIRST_RESTORE_SEED: u64 = 150;
 
+/// First seed in whose run a failure domain is evacuated and its backend servers return cold.
+pub const FIRST_EVACUATION_SEED: u64 = 400;
+
 /// Runs one seed, prints the findings and returns their number. With `timed`, time
 /// limits are checked as well.
 pub fn run(seed: u64, number: u8, size: Option<Size>, timed: bool) -> usize {
@@ -54,8 +58,11 @@
     let mut faults = draw(size, &mut rng);
     if seed >= FIRST_RESTORE_SEED {
         faults.push(draw_restore(&mut rng));
-        faults.sort_by_key(|(at, _)| *at);
     }
+    if seed >= FIRST_EVACUATION_SEED {
+        faults.push(draw_evacuation(&mut rng));
+    }
+    faults.sort_by_key(|(at, _)| *at);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let (findings, ends) = LocalSet::new().block_on(&runtime, async {
         let fleet = Rc::new(RefCell::new(Fleet::open(seed, number, size, timed).await));
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -494,6 +494,9 @@
             KeepAlive::Open if self.health.keep_alive() != KeepAlive::Open => {
                 self.warm_up.record_start(now);
             }
+            KeepAlive::Closed if self.health.keep_alive() == KeepAlive::Open => {
+                self.warm_up.record_end();
+            }
             KeepAlive::Refused => self.warm_up.record_absence(now),
             KeepAlive::Open | KeepAlive::Closed => {}
         }
--- a/lib/src/request/cold_period.rs
+++ b/lib/src/request/cold_period.rs
@@ -14,7 +14,8 @@
     began: Moment,
     // Whether `began` is only the agent's start, before which the run may have begun.
     presumed: bool,
-    // Whether nothing listened at the address when it was last tried.
+    // Whether nothing listened at the address when it was last tried, or the connection
+    // ended, so that the next sign of life may be that of a new run.
     absent: bool,
     // Name and start of the run whose entry was read last, with the time that it stated.
     entry: Option<(Name, u64, Duration)>,
@@ -37,12 +38,12 @@
         self.absent = false;
     }
 
-    /// Records that no process listens at the address, so that the next one is a new run.
+    /// Records that no process listens at the address, or that one may have ended.
     pub fn record_absence(&mut self) {
         self.absent = true;
     }
 
-    /// Returns whether the address refused packets since a run was last there.
+    /// Returns whether the next sign of life may be that of a new run.
     pub fn is_absent(&self) -> bool {
         self.absent
     }
--- a/lib/src/request/warm_up.rs
+++ b/lib/src/request/warm_up.rs
@@ -57,6 +57,11 @@
         self.cold.record_start(now);
     }
 
+    /// Records that the connection to the backend server ended, and perhaps its run.
+    pub fn record_end(&mut self) {
+        self.cold.record_absence();
+    }
+
     /// Records that no process listens at the backend server's address. What an earlier run
     /// of the agent passed on went to a run that has ended.
     pub fn record_absence(&mut self, now: Moment) {
--- a/lib/tests/warm_up.rs
+++ b/lib/tests/warm_up.rs
@@ -7,6 +7,8 @@
 use lagoonhollow_lib::request::warm_up::WarmUpLimit;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_lib::version::member::Member;
+use lagoonhollow_lib::version::member::MemberState;
 use lagoonhollow_lib::version::service::WarmUp;
 use lagoonhollow_testutils::packets::caller::End;
 use lagoonhollow_testutils::packets::caller::Plan;
@@ -72,6 +74,46 @@
     }
 }
 
+/// A run that began unseen, and a warm backend server that was limited for ever.
+#[test]
+fn a_backend_server_is_cold_from_each_sign_that_a_run_began() {
+    let at = Moment::from_millis;
+    let entry = |born, warming| Member {
+        name: "b".into(),
+        service: "alarm".into(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        domain: "d".into(),
+        slots: 4,
+        standing: MemberState::Ready,
+        warming: Duration::from_millis(warming),
+        born,
+    };
+    let mut limit = WarmUpLimit::open(Some(ALLOWANCE), false, at(1_000));
+    let until = |limit: &WarmUpLimit, now| limit.cold(at(now)).map(|(_, until)| until);
+    assert_eq!(until(&limit, 1_000), None, "no service states a limit yet");
+    limit.update(Some(WARM_UP), None, at(1_000));
+    limit.record_start(at(1_100));
+    assert_eq!(until(&limit, 1_100), Some(at(6_000)), "it may have run before the agent");
+    assert_eq!(limit.openings(at(1_200)), 0, "an earlier agent may have used the window up");
+    limit.update(Some(WARM_UP), Some(&entry(1, 0)), at(1_300));
+    assert_eq!(until(&limit, 1_300), None, "its entry says that nothing is left");
+    limit.record_end();
+    limit.record_start(at(2_000));
+    assert_eq!(until(&limit, 2_000), Some(at(7_000)), "the connection ended and opened anew");
+    limit.update(Some(WARM_UP), Some(&entry(1, 0)), at(2_100));
+    assert_eq!(until(&limit, 2_100), Some(at(7_000)), "the entry may be that of the run before");
+    limit.record_absence(at(7_500));
+    limit.record_packet(at(8_000));
+    assert_eq!(until(&limit, 8_000), Some(at(13_000)), "a packet after a refusal");
+    limit.update(Some(WARM_UP), Some(&entry(2, 0)), at(20_000));
+    assert_eq!(until(&limit, 20_000), Some(at(25_000)), "an entry of a new run");
+    limit.update(Some(WARM_UP), Some(&entry(2, 9_000)), at(21_000));
+    limit.update(Some(WARM_UP), Some(&entry(2, 9_000)), at(22_000));
+    assert_eq!(until(&limit, 22_000), Some(at(30_000)), "as long as its entry states");
+    limit.update(Some(WarmUp { rate: 0.0, ..WARM_UP }), None, at(22_000));
+    assert_eq!((until(&limit, 22_000), limit.openings(at(22_000))), (None, u16::MAX));
+}
+
 /// Homes that have no report of a new backend server take it for idle, all at once.
 #[test]
 fn a_burst_of_twenty_homes_at_a_joining_backend_server_stays_within_the_limit() {
--- a/testutils/src/packets/monitor.rs
+++ b/testutils/src/packets/monitor.rs
@@ -78,6 +78,18 @@
         self.lock().leaving.insert(member.name.clone(), now);
     }
 
+    /// Records that exactly these failure domains are evacuated from now on.
+    pub fn record_orders(&self, domains: &[Name]) {
+        let now = self.now();
+        self.lock().checks.record_orders(domains, now);
+    }
+
+    /// Records that a backend server is cold after `delay`, for `time` from now.
+    pub fn record_cold(&self, member: &Member, limit: usize, delay: Duration, time: Duration) {
+        let now = self.now();
+        self.lock().checks.record_cold(&member.name, limit, now + delay, now + time);
+    }
+
     /// Records that a backend server has stopped and its flows have ended.
     pub fn record_removal(&self, member: &Member) {
         self.lock().owners.retain(|_, owner| *owner != member.name);
@@ -101,6 +113,12 @@
                 let problem = format!("{flow:?} was opened at {}, {}", member.name, member.service);
                 state.checks.report(now, problem);
             }
+            if self.timed && stable {
+                state.checks.check_evacuation(&flow, member, now);
+            }
+            if self.timed {
+                state.checks.check_warm_up(&member.name, now);
+            }
             let late =
                 state.leaving.get(&member.name).is_some_and(|at| now.since(*at) > DRAIN_BOUND);
             if self.timed && stable && late {
--- a/testutils/src/packets/site.rs
+++ b/testutils/src/packets/site.rs
@@ -41,19 +41,36 @@
     // Number of backend servers of the first service; the rest are of the second.
     first_count: u8,
     proxied: bool,
+    // Whether backend servers are cold after their start, with a limit.
+    warms_up: bool,
 }
 
 impl Site {
+    /// Time after its start for which a backend server of a site that warms up is cold.
+    pub const WARM_UP_TIME: Duration = Duration::from_secs(2);
+    /// Opening packets that it may get in a second meanwhile: 6 x 1.5 + 5.
+    pub const WARM_UP_LIMIT: usize = 14;
+
     /// Describes a site without proxies whose backend servers are all of the first
     /// service.
     pub fn open(number: u8) -> Self {
-        Self { number, first_count: u8::MAX, proxied: false }
+        Self { number, first_count: u8::MAX, proxied: false, warms_up: false }
     }
 
     /// Describes a site with proxies between all processes, and between them and the
     /// store. The first `first_count` backend servers are of the first service.
     pub fn proxied(number: u8, first_count: u8) -> Self {
-        Self { number, first_count, proxied: true }
+        Self { number, first_count, proxied: true, warms_up: false }
+    }
+
+    /// Makes its services state a warm-up limit.
+    pub fn warming_up(self) -> Self {
+        Self { warms_up: true, ..self }
+    }
+
+    /// Returns whether its services state a warm-up limit.
+    pub fn warms_up(self) -> bool {
+        self.warms_up
     }
 
     /// Returns the store's address.
@@ -134,7 +151,7 @@
             domain: format!("d-{}", i % 2).into(),
             slots: 4,
             standing: MemberState::Ready,
-            warming: Duration::ZERO,
+            warming: if self.warms_up { Self::WARM_UP_TIME } else { Duration::ZERO },
             born: 1_790_000_000_000 + run,
         }
     }
@@ -154,7 +171,7 @@
     pub fn agent_settings(self, i: u8) -> String {
         format!(
             "{}outbound = {}\n[backend]\naddress = {}\nservice = {}\nreuse_seconds = 2\n\
-             heartbeat_ms = 1200\n[fleet]\nstore = http://{}\npeers = {}\n",
+             heartbeat_ms = 1200\nwarmup_overage = 1.5\nwarmup_slack = 5\n[fleet]\nstore = http://{}\npeers = {}\n",
             self.settings("agent", AGENT_OCTET, i, 100),
             self.outbound(i),
             self.backend(i),
@@ -189,7 +206,13 @@
 
     fn document(self, version: u64, routes: Vec<Value>) -> Vec<u8> {
         let limits = json!({ "idle_timeout_ms": 15000 });
-        let services = SERVICES.map(|(name, _)| json!({ "name": name, "health_path": "/health" }));
+        let services = SERVICES.map(|(name, _)| match self.warms_up {
+            false => json!({ "name": name, "health_path": "/health" }),
+            true => json!({
+                "name": name, "health_path": "/health",
+                "warmup_s": Self::WARM_UP_TIME.as_secs_f64(), "warmup_per_s": 6.0
+            }),
+        });
         json!({ "version": version, "routes": routes, "services": services, "limits": limits })
             .to_string()
             .into_bytes()
@@ -201,7 +224,7 @@
         json!({
             "service": member.service, "address": member.address, "zone": member.domain,
             "version": "v1", "max_concurrency": member.slots, "state": state,
-            "warmup_left_ms": 0, "sequence": 1, "born": member.born
+            "warmup_left_ms": member.warming.as_millis() as u64, "sequence": 1, "born": member.born
         })
         .to_string()
         .into_bytes()
