--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -185,6 +185,20 @@
             let held = status.held.iter().map(|(name, n)| format!("\n  holds {n:>8} {name}"));
             let reasons = status.reasons.iter().map(|(name, n)| format!("\n  count {n:>8} {name}"));
             text.extend(held.chain(reasons));
+            text.extend(status.evacuations.iter().map(|e| {
+                let (domain, revision, ms) = (&e.domain, &e.revision, e.known_for_ms);
+                format!("\n  evacuated {domain} since revision {revision}, known for {ms} ms")
+            }));
+            if let (Some(by), Some(ms)) = (&status.confirmed_by, status.confirmation_ms) {
+                text += &format!("\n  knowledge confirmed by {by} as of {ms} ms ago");
+            }
+            if status.observer {
+                text += "\n  observes the store for other processes";
+            }
+            if let Some(cold) = &status.cold {
+                let (rate, ms) = (cold.rate, cold.left_ms);
+                text += &format!("\n  backend server cold for {ms} ms, bears {rate} requests/s");
+            }
             CommandOutput::success(text, &status)
         }
         Err(problem) => CommandOutput::failure(problem),
--- a/daemon/src/process/admin.rs
+++ b/daemon/src/process/admin.rs
@@ -101,6 +101,8 @@
             confirmation_ms: None,
             held: held.map(|(name, n)| (name.to_owned(), n as u64)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+            evacuations: Vec::new(),
+            cold: None,
         }
     }
 
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering::Relaxed;
 
@@ -18,11 +19,13 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::evacuation_log::EvacuationLog;
 use super::metrics::PacketMetrics;
 use super::settings::PacketSettings;
 use super::settings::Role;
 use super::traffic_queues::Command;
 use crate::process::clock::Clock;
+use crate::process::status::ColdStatus;
 use crate::process::status::Status;
 use crate::version::packet::knowledge::Knowledge;
 
@@ -53,6 +56,7 @@
     confirmed: AtomicBool,
     // Only the control thread and the admin server take this lock.
     state: Mutex<&'static str>,
+    evacuations: Mutex<EvacuationLog>,
 }
 
 impl Shared {
@@ -80,6 +84,7 @@
             observes: AtomicBool::new(false),
             confirmed: AtomicBool::new(false),
             state,
+            evacuations: Mutex::default(),
         }
     }
 
@@ -142,6 +147,8 @@
         self.metrics.members.set(view.roster.members().len() as i64);
         self.update_role(&view);
         self.update_confirmation(&view);
+        self.metrics.evacuations.set(view.evacuations.domains().count() as i64);
+        self.lock_evacuations().update(&view.evacuations, self.clock.now());
         self.update_readiness();
     }
 
@@ -216,7 +223,8 @@
         let reasons = self.metrics.reasons();
         let (state, ready) = (self.state(), self.is_ready());
         let confirmation = self.knowledge.confirmation();
-        let age = |at| self.clock.now().since(at).as_millis() as u64;
+        let now = self.clock.now();
+        let cold = self.metrics.cold().map(|(rate, left_ms)| ColdStatus { rate, left_ms });
         Status {
             name: self.settings.name.to_string(),
             role: role.to_owned(),
@@ -226,12 +234,18 @@
             ready,
             observer: self.observes(),
             confirmed_by: confirmation.map(|(by, _)| by.to_string()),
-            confirmation_ms: confirmation.map(|(_, at)| age(at)),
+            confirmation_ms: confirmation.map(|(_, at)| now.since(at).as_millis() as u64),
             held: held.map(|(name, n)| (name.to_owned(), n)).into(),
             reasons: reasons.into_iter().map(|(r, n)| (r.to_string(), n)).collect(),
+            evacuations: self.lock_evacuations().status(now),
+            cold,
         }
     }
 
+    fn lock_evacuations(&self) -> MutexGuard<'_, EvacuationLog> {
+        self.evacuations.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn state(&self) -> &'static str {
         *self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
