Tell agents that start which runs have ended, and ask those that start again

Cause: a home that restarted did not know which backend servers had ended, and a search that began before all agents ran waited for the caller's next packet.

Change: an agent passes on the ended runs that it remembers to one that starts; a home asks an agent that was silent again once it hears from it.

--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -315,8 +315,12 @@
                 self.evidence.known.heard(from, run, now);
                 let neighbour = Neighbour { run, service, load, accepting, heard: now, charged: 0 };
                 self.placer.neighbours.heard(from, neighbour);
+                self.home.ask_again(&mut self.context, from);
+            }
+            Message::Hello => {
+                self.home.ask_again(&mut self.context, from);
+                self.send_recovery(from, now);
             }
-            Message::Hello => self.send_recovery(from, now),
             Message::VersionQuery => {
                 self.context.send(from, Message::VersionReply { age_ms: None });
             }
@@ -336,10 +340,10 @@
                 }
                 self.follow_runs(now);
             }
-            Message::Ended { run, name, born } => {
+            Message::Ended { link, run, name, born } => {
                 let ended = EndedRun { agent: run, name, born };
-                if self.placer.neighbours.end(from, ended, now) {
-                    self.context.record(Event::of(Decision::RunEnded).peer(from).value(born));
+                if self.placer.neighbours.end(link, ended, now) {
+                    self.context.record(Event::of(Decision::RunEnded).peer(link).value(born));
                     self.review_absences(now);
                 }
             }
@@ -617,6 +621,10 @@
         for owned in self.home.owned_by(link) {
             self.context.send(link, owned);
         }
+        for (ended, EndedRun { agent: run, name, born }) in self.placer.neighbours.ended() {
+            let (name, born) = (name.clone(), *born);
+            self.context.send(link, Message::Ended { link: ended, run: *run, name, born });
+        }
         let service = self.backend.service(&self.context).clone();
         let context = &self.context;
         let claims = self.backend.claims(|f| context.homes(&service, f).contains(&link), now);
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -241,6 +241,19 @@
         self.ask(context, backend, neighbours, search, now);
     }
 
+    /// Asks the agent at `link`, which is heard from, for the unresolved flows that it was
+    /// silent about. Answers the load of a start of all VMs: a home is asked for flows before
+    /// all agents run.
+    pub fn ask_again(&self, context: &mut AgentContext, link: SocketAddr) {
+        for (flow, unresolved) in self.searches.unresolved() {
+            if unresolved.silent.contains(&link) && !self.searches.is_searched(flow) {
+                let segment = &unresolved.packet.segment;
+                let ack = segment.flags.acks.then_some(segment.ack);
+                context.send(link, Message::Ask { flow: *flow, ack });
+            }
+        }
+    }
+
     /// Returns messages that list the flows which the agent at `link` owned.
     pub fn owned_by(&self, link: SocketAddr) -> Vec<Message> {
         let flows: Vec<_> = self.directory.owned_by(link).map(|(f, o)| (f, o.isn)).collect();
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -180,9 +180,12 @@
         /// Whether it has heard of an earlier process.
         earlier: bool,
     },
-    /// The sender stops, and its backend server's run has ended.
+    /// An agent stops, and its backend server's run has ended. Others pass it on to agents that
+    /// start.
     Ended {
-        /// The sender's run.
+        /// Datagram address of the agent.
+        link: SocketAddr,
+        /// Its run.
         run: Incarnation,
         /// Name of the backend server.
         name: Name,
--- a/lib/src/front/packet/run_evidence.rs
+++ b/lib/src/front/packet/run_evidence.rs
@@ -112,9 +112,10 @@
         let mut services: BTreeSet<_> = routes.flat_map(|r| r.holders()).collect();
         services.insert(&last.service);
         let links: BTreeSet<_> = services.into_iter().flat_map(|s| context.peers(s)).collect();
-        let (run, name, born) = (context.me.run, last.name.clone(), last.born);
-        for link in links {
-            context.send(link, Message::Ended { run, name: name.clone(), born });
+        let (link, run) = (context.me.link, context.me.run);
+        let ended = Message::Ended { link, run, name: last.name.clone(), born: last.born };
+        for peer in links {
+            context.send(peer, ended.clone());
         }
     }
 
--- a/lib/src/process/ended_runs.rs
+++ b/lib/src/process/ended_runs.rs
@@ -15,7 +15,7 @@
 const MAX_RUNS: usize = 1_024;
 
 /// A run of a backend server that has ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRun {
     /// The process of the agent beside it, which said so.
     pub agent: Incarnation,
@@ -33,13 +33,23 @@
 }
 
 impl EndedRuns {
-    /// Records that a run has ended; none beyond the limit.
-    pub fn add(&mut self, link: SocketAddr, ended: EndedRun, now: Moment) {
-        if self.by_link.len() < MAX_RUNS || self.by_link.contains_key(&link) {
-            self.by_link.insert(link, (ended, now));
+    /// Records that a run has ended, none beyond the limit; returns whether that is new.
+    pub fn add(&mut self, link: SocketAddr, ended: EndedRun, now: Moment) -> bool {
+        match self.by_link.get(&link) {
+            Some((known, _)) if *known == ended => false,
+            None if self.by_link.len() >= MAX_RUNS => false,
+            _ => {
+                self.by_link.insert(link, (ended, now));
+                true
+            }
         }
     }
 
+    /// Returns the ended runs.
+    pub fn iter(&self) -> impl Iterator<Item = (SocketAddr, &EndedRun)> {
+        self.by_link.iter().map(|(link, (ended, _))| (*link, ended))
+    }
+
     /// Records that the process `agent` runs at `link`: another one than that which stopped
     /// serves another run.
     pub fn heard(&mut self, link: SocketAddr, agent: Incarnation) {
--- a/lib/src/process/neighbours.rs
+++ b/lib/src/process/neighbours.rs
@@ -70,14 +70,16 @@
         }
     }
 
-    /// Records that an agent stops and that its backend server's run has ended; returns
-    /// whether that is the last process known there.
+    /// Records that an agent stops and that its backend server's run has ended, unless another
+    /// process was heard from there; returns whether that is new.
     pub fn end(&mut self, link: SocketAddr, ended: EndedRun, now: Moment) -> bool {
         let last = self.by_link.get(&link).is_none_or(|n| n.run == ended.agent);
-        if last {
-            self.ended.add(link, ended, now);
-        }
-        last
+        last && self.ended.add(link, ended, now)
+    }
+
+    /// Returns the runs that have ended, by the addresses of their agents.
+    pub fn ended(&self) -> impl Iterator<Item = (SocketAddr, &EndedRun)> {
+        self.ended.iter()
     }
 
     /// Returns whether the backend server of the agent at `link` has ended, so that it has no
--- a/testutils/src/packets/power.rs
+++ b/testutils/src/packets/power.rs
@@ -14,6 +14,14 @@
 /// Multiplier that spreads the starts.
 const SPREAD_FACTOR: u64 = 7_919;
 
+/// What starts on a VM, by its index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Start {
+    Backend(usize),
+    Agent(usize),
+    Entry(usize),
+}
+
 /// A flow that was lost with its backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LostFlow {
@@ -89,18 +97,19 @@
         let from = self.now;
         let mut starts = Vec::new();
         for i in (0..self.agents.len()).filter(|i| !gone.contains(i)) {
-            let wait = Duration::from_millis(i as u64 * SPREAD_FACTOR % START_SPREAD_MS);
-            starts.push((wait, i, true));
-            starts.push((wait + AGENT_DELAY, i, false));
+            starts.push((spread(i), Start::Backend(i)));
+            starts.push((spread(i) + AGENT_DELAY, Start::Agent(i)));
+        }
+        for i in 0..self.entries.len() {
+            starts.push((spread(i) + AGENT_DELAY, Start::Entry(i)));
         }
         starts.sort();
-        (0..self.entries.len()).for_each(|i| self.start_entry(i));
-        for (wait, i, backend) in starts {
+        for (wait, start) in starts {
             self.run((from + wait).since(self.now));
-            if backend {
-                self.restart_backend(i, None);
-            } else {
-                self.start_agent(i, false);
+            match start {
+                Start::Backend(i) => self.restart_backend(i, None),
+                Start::Agent(i) => self.start_agent(i, false),
+                Start::Entry(i) => self.start_entry(i),
             }
         }
     }
@@ -116,3 +125,8 @@
         Outcome { flows: seen.len(), reset: waits.len(), at_first, waits }
     }
 }
+
+/// Returns when the VM with index `i` starts after the return of the power.
+fn spread(i: usize) -> Duration {
+    Duration::from_millis(i as u64 * SPREAD_FACTOR % START_SPREAD_MS)
+}
