--- a/daemon/src/process/packet/decision_log.rs
+++ b/daemon/src/process/packet/decision_log.rs
@@ -44,7 +44,7 @@
         let KnownVersions { routes, roster, evacuations } = known;
         if let Some(SearchOutcome { silent, unsure, unasked }) = event.outcome {
             spdlog::log!(level(event.decision), "{}", event.decision, kv: {
-                caller, service, reason, peer, silent, unsure, unasked, routes, roster:, evacuations:
+                caller, service, reason, peer, value = event.value, silent, unsure, unasked, routes, roster:, evacuations:
             });
             return;
         }
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -44,6 +44,9 @@
 /// Longest regular time between two ticks. In what exceeds it, this process did not run,
 /// so packets of its backend server wait in the socket.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of ended runs that are passed on to an agent that starts: more than a
+/// release takes away within the time for which they are remembered.
+const ENDED_PER_HELLO: usize = 32;
 /// Number of retransmissions of an opening packet that go to the backend server
 /// which answered the first one. The next one comes when the caller has waited
 /// for 600 ms, and is placed anew. An owner that is known before the first one comes
@@ -621,7 +624,9 @@
         for owned in self.home.owned_by(link) {
             self.context.send(link, owned);
         }
-        for (ended, EndedRun { agent: run, name, born }) in self.placer.neighbours.ended() {
+        for (ended, EndedRun { agent: run, name, born }) in
+            self.placer.neighbours.ended().take(ENDED_PER_HELLO)
+        {
             let (name, born) = (name.clone(), *born);
             self.context.send(link, Message::Ended { link: ended, run: *run, name, born });
         }
--- a/lib/tests/after_a_loss.rs
+++ b/lib/tests/after_a_loss.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonhollow_lib::front::packet::event::Decision;
+use lagoonhollow_lib::front::packet::event::Event;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_testutils::packets::caller::End;
 use lagoonhollow_testutils::packets::caller::Plan;
@@ -203,6 +204,31 @@
     }
 }
 
+// A process that is killed and started again within the window in which processes start with
+// their runs would pass for the first one; its peers have heard of the other.
+#[test]
+fn an_agent_restarted_at_once_beside_a_new_run_proves_nothing() {
+    for seed in 0..4 {
+        let mut world = small_fleet(seed);
+        world.crash(0, false);
+        world.kill_agent(0);
+        // Long enough for the earlier process to be forgotten.
+        world.run(SECOND * 125);
+        world.restart_backend(0, None);
+        world.run(Duration::from_millis(15));
+        world.start_agent(0, false);
+        world.run(Duration::from_millis(60));
+        world.kill_agent(0);
+        world.start_agent(0, false);
+        let second = world.now;
+        world.run(SECOND * 12);
+        let proved =
+            |(at, _, e): &&(Moment, _, Event)| e.decision == Decision::Complete && *at > second;
+        assert_eq!(world.events.iter().filter(proved).count(), 0, "seed {seed}");
+        assert_eq!(world.checks.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 // The clock alone would make the process look as old as its backend server's run.
 #[test]
 fn a_clock_that_shows_the_start_of_the_run_again_proves_nothing() {
