--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -44,6 +44,9 @@
 /// Longest regular time between two ticks. In what exceeds it, this process did not run,
 /// so packets of its backend server wait in the socket.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of ended runs that are passed on to an agent that starts: more than a
+/// release takes away within the time for which they are remembered.
+const ENDED_PER_HELLO: usize = 32;
 /// Number of retransmissions of an opening packet that go to the backend server
 /// which answered the first one. The next one comes when the caller has waited
 /// for 600 ms, and is placed anew. An owner that is known before the first one comes
@@ -335,8 +338,12 @@
                 let neighbour = Neighbour { run, service, load, accepting, heard: now, charged: 0 };
                 self.placer.neighbours.heard(from, neighbour);
                 self.placer.cold.report(from, load.openings, now);
+                self.home.ask_again(&mut self.context, from);
+            }
+            Message::Hello => {
+                self.home.ask_again(&mut self.context, from);
+                self.send_recovery(from, now);
             }
-            Message::Hello => self.send_recovery(from, now),
             Message::VersionQuery { number } => {
                 let age_ms = self.context.view.age_ms(now);
                 self.context.send(from, Message::VersionReply { number, age_ms });
@@ -356,10 +363,10 @@
                 }
                 self.follow_runs(now);
             }
-            Message::Ended { run, name, born } => {
+            Message::Ended { link, run, name, born } => {
                 let ended = EndedRun { agent: run, name, born };
-                if self.placer.neighbours.end(from, ended, now) {
-                    self.context.record(Event::of(Decision::PeerRunEnded).peer(from).value(born));
+                if self.placer.neighbours.end(link, ended, now) {
+                    self.context.record(Event::of(Decision::PeerRunEnded).peer(link).value(born));
                     self.review_absences(now);
                 }
             }
@@ -647,6 +654,12 @@
         for owned in self.home.owned_by(link) {
             self.context.send(link, owned);
         }
+        for (ended, EndedRun { agent: run, name, born }) in
+            self.placer.neighbours.ended().take(ENDED_PER_HELLO)
+        {
+            let (name, born) = (name.clone(), *born);
+            self.context.send(link, Message::Ended { link: ended, run: *run, name, born });
+        }
         let service = self.backend.service(&self.context).clone();
         let context = &self.context;
         let claims = self.backend.claims(|f| context.homes(&service, f).contains(&link), now);
