Send other processes what changed of the routes instead of all of them

Cause: once most processes read changes from the observers, each version of the configuration crossed failure domains as a whole for each of them.

Change: a process keeps the last four versions of its routes and sends the difference to one that knows any of these.

Result: lib/tests/routes_update.rs 3 of 3, daemon/tests/{packets,following, configuration}.rs pass.

--- a/cli/src/check_config.rs
+++ b/cli/src/check_config.rs
@@ -12,6 +12,7 @@
 use lagoonhollow_lib::version::config_check::ConfigCheck;
 use lagoonhollow_lib::version::config_diff::ConfigDiff;
 use lagoonhollow_lib::version::routes::Published;
+use lagoonhollow_lib::version::routes_update::RoutesUpdate;
 use lagoonhollow_platform::routes;
 use serde_json::json;
 
@@ -86,7 +87,10 @@
     let path = knowledge_delta::PATH;
     let url = format!("http://{address}{path}?routes=0&roster=0&evacuations=0");
     let delta: KnowledgeDelta = get(&url)?;
-    delta.routes.ok_or_else(|| format!("the process at {address} knows no configuration"))
+    match delta.routes {
+        Some(RoutesUpdate::Whole(published)) => Ok(published),
+        _ => Err(format!("the process at {address} knows no configuration")),
+    }
 }
 
 fn table(
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a process knows of routes and backend servers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 use lagoonhollow_lib::version::revision::Revision;
 use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_lib::version::routes::Routes;
+use lagoonhollow_lib::version::routes_history::RoutesHistory;
+use lagoonhollow_lib::version::routes_update::RoutesUpdate;
 use tokio::sync::watch;
 
 use super::knowledge_delta::KnowledgeDelta;
@@ -40,6 +43,7 @@
     confirmation: Confirmation,
     orders: Position,
     members: Position,
+    history: RoutesHistory,
     changed: bool,
 }
 
@@ -63,6 +67,7 @@
             confirmation,
             orders: Position::default(),
             members: Position::default(),
+            history: RoutesHistory::default(),
             changed: false,
         };
         Self { state: state.into(), view: watch::channel(View::default()).0 }
@@ -91,11 +96,21 @@
             return false;
         }
         self.lock().changed |= published.services != old.published().services;
-        let routes = Routes::open(published).enforce(&old).into();
+        let routes = Arc::new(Routes::open(published).enforce(&old));
+        self.lock().history.add(routes.clone());
         self.view.send_modify(|view| view.routes = routes);
         true
     }
 
+    /// Returns the routes to which another process's update leads; none if it does not follow
+    /// those in force here.
+    pub fn updated_routes(&self, update: RoutesUpdate) -> Option<Published> {
+        match update {
+            RoutesUpdate::Whole(published) => Some(published),
+            RoutesUpdate::Changes(changes) => changes.apply(self.view.borrow().routes.published()),
+        }
+    }
+
     /// Puts the failure domains in force that the store lists as evacuated at `revision`.
     pub fn replace_evacuations(&self, revision: Revision, listed: &[EvacuationChange]) {
         let known = self.view.borrow().evacuations.clone();
@@ -249,13 +264,13 @@
 
     /// Returns what this process knows beyond the versions `known`.
     pub fn delta_since(&self, known: KnownVersions, now: Moment) -> KnowledgeDelta {
-        let routes = self.view.borrow().routes.clone();
-        let later = routes.version() > known.routes;
-        let routes = later.then(|| routes.published().clone());
         let evacuations = self.view.borrow().evacuations.clone();
         let later = evacuations.revision() > known.evacuations;
         let evacuations = later.then(|| (*evacuations).clone());
-        let roster = self.lock().registry.updates_since(known.roster);
+        let state = self.lock();
+        let routes = state.history.update_since(known.routes);
+        let roster = state.registry.updates_since(known.roster);
+        drop(state);
         let age_ms = self.view.borrow().age_ms(now);
         KnowledgeDelta { routes, roster, known: self.known(), age_ms, evacuations }
     }
--- a/daemon/src/version/packet/knowledge_delta.rs
+++ b/daemon/src/version/packet/knowledge_delta.rs
@@ -9,7 +9,7 @@
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::process::registry::RegistryUpdate;
 use lagoonhollow_lib::version::evacuations::Evacuations;
-use lagoonhollow_lib::version::routes::Published;
+use lagoonhollow_lib::version::routes_update::RoutesUpdate;
 use lagoonhollow_wire::transfer::Transfer;
 use lagoonhollow_wire::transfer_error::TransferError;
 use ntex::client::Client;
@@ -26,8 +26,8 @@
 /// What one process knows beyond the versions that another one has.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KnowledgeDelta {
-    /// The routes in force, if they are later.
-    pub routes: Option<Published>,
+    /// What brings the reader to the routes in force, if they are later.
+    pub routes: Option<RoutesUpdate>,
     /// The changes of registered backend servers.
     pub roster: RegistryUpdate,
     /// The versions that the process knows, to which this brings the reader.
--- a/daemon/src/version/packet/pull.rs
+++ b/daemon/src/version/packet/pull.rs
@@ -71,7 +71,8 @@
     match KnowledgeDelta::fetch(client, peer, known).await {
         Ok(delta) => {
             let now = shared.clock.now();
-            if let Some(routes) = delta.routes {
+            let routes = delta.routes.and_then(|update| shared.knowledge.updated_routes(update));
+            if let Some(routes) = routes {
                 shared.apply_routes(routes, "peer");
             }
             if let Some(evacuations) = delta.evacuations {
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -16,5 +16,7 @@
 pub mod roster;
 pub mod route;
 pub mod routes;
+pub mod routes_history;
+pub mod routes_update;
 pub mod run;
 pub mod service;
