--- a/lib/src/front/packet/gate.rs
+++ b/lib/src/front/packet/gate.rs
@@ -18,15 +18,17 @@
 }
 
 impl Gate {
-    /// Opens at the start of the agent.
+    /// Opens at the start of the agent. Until the evacuations are known, any domain may be
+    /// evacuated.
     pub fn open(now: Moment) -> Self {
-        let (evacuated, read_at) = (false, Moment::default());
+        let (evacuated, read_at) = (true, Moment::default());
         Self { evacuated, read_at, resumption: Resumption::open(now) }
     }
 
     /// Applies a view; `domains` are those that the agent and its backend server state.
     pub fn update<'a>(&mut self, view: &View, domains: impl IntoIterator<Item = &'a Name>) {
-        self.evacuated = domains.into_iter().any(|d| view.evacuations.covers(d));
+        let covered = domains.into_iter().any(|d| view.evacuations.covers(d));
+        self.evacuated = covered || !view.evacuations.is_known();
         self.read_at = view.read_at;
     }
 
--- a/lib/tests/evacuation.rs
+++ b/lib/tests/evacuation.rs
@@ -12,8 +12,10 @@
 use lagoonhollow_lib::front::packet::event::Decision;
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::front::packet::message::Message;
+use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::reason::Reason;
+use lagoonhollow_lib::version::evacuations::Evacuations;
 use lagoonhollow_testutils::packets::caller::Caller;
 use lagoonhollow_testutils::packets::caller::End;
 use lagoonhollow_testutils::packets::caller::Plan;
@@ -272,6 +274,22 @@
     (opening, answer)
 }
 
+/// A process that took a set which it had not read for an empty one.
+#[test]
+fn an_agent_accepts_no_flow_before_it_knows_the_evacuations() {
+    let mut world = fleet(0);
+    let entry = world.entries[0].link;
+    let now = world.now;
+    let known = world.agents[0].view.clone();
+    let unknown = View { evacuations: Evacuations::default().into(), ..known.clone() };
+    world.agents[0].update_view(unknown, now);
+    let place = || Message::Place { entry, service: "alarm".into() };
+    let declined = (false, Some(Decline::Evacuated));
+    assert_eq!(actions_of(&mut world, place(), opening(1, now).0), declined);
+    world.agents[0].update_view(known, now);
+    assert_eq!(actions_of(&mut world, place(), opening(2, now).0), (true, None));
+}
+
 /// A gate that only [`Message::Place`] passed through, or that broke handshakes in progress.
 #[test]
 fn only_copies_of_answered_opening_packets_pass_an_agent_of_an_evacuated_domain() {
--- a/lib/tests/packets.rs
+++ b/lib/tests/packets.rs
@@ -16,6 +16,7 @@
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::incarnation::Incarnation;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::evacuations::Evacuations;
 use lagoonhollow_lib::version::member::Member;
 use lagoonhollow_lib::version::member::MemberState;
 use lagoonhollow_lib::version::roster::Roster;
@@ -324,7 +325,8 @@
     let at = Moment::from_millis;
     let (mut agent, mut backend) = (home_agent(at(1_000)), Backend::open(member()));
     let roster = Roster::open(1.into(), [member()]).into();
-    agent.update_view(View { roster, ..View::default() }, at(1_000));
+    let evacuations = Evacuations::open(1.into(), []).into();
+    agent.update_view(View { roster, evacuations, ..View::default() }, at(1_000));
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     let home = "10.0.0.2:7000".parse().unwrap();
     let mut offer = |agent: &mut Agent, port: u16, now| {
