--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -254,6 +254,7 @@
             priority: route.priority,
             target: now + route.target_latency.saturating_sub(waited),
             deadline: now + route.timeout.saturating_sub(waited),
+            work: self.waiting.expected_work(&flow.service),
         };
         let queued = self.waiting.push(flow, request);
         if !queued {
@@ -276,7 +277,7 @@
             self.begin_request(&flow, now);
             let held = now.since(request.since);
             context.act(Action::Measured(Phase::Held, held));
-            if now + self.waiting.service_time() > request.target {
+            if now + request.work > request.target {
                 let event = Event::of(Decision::Late).reason(Reason::Deadline).flow(flow);
                 context.record(event.value(held.as_micros() as u64));
             }
@@ -385,7 +386,8 @@
             Some(_) if segment.len == 0 => self.waiting.abandon(now),
             Some(started) => {
                 let took = now.since(started);
-                self.waiting.end(took, self.health.slots(), now);
+                let route = segment.flow.service;
+                self.waiting.end(route, took, self.health.slots(), now);
                 context.act(Action::Measured(Phase::Service, took));
             }
             None => {}
--- a/lib/src/front/packet/waiting.rs
+++ b/lib/src/front/packet/waiting.rs
@@ -1,6 +1,7 @@
 //! Requests that wait at an agent, and those that its backend server works on.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::connection::flow::FlowKey;
@@ -9,6 +10,7 @@
 use crate::request::load_meter::LoadMeter;
 use crate::request::request_queue::QueuedRequest;
 use crate::request::request_queue::RequestQueue;
+use crate::request::work_times::WorkTimes;
 use crate::value::moment::Moment;
 
 /// Requests passed to the backend server beyond its slots, so that a slot is
@@ -27,6 +29,7 @@
 pub struct Waiting {
     queue: RequestQueue,
     meter: LoadMeter,
+    work: WorkTimes,
     // Flows that were accepted and have not sent a request, with the time.
     expected: HashMap<FlowKey, Moment>,
 }
@@ -35,7 +38,7 @@
     /// Opens without any request.
     pub fn open(now: Moment) -> Self {
         let (queue, expected) = (RequestQueue::default(), HashMap::new());
-        Self { queue, meter: LoadMeter::open(now), expected }
+        Self { queue, meter: LoadMeter::open(now), work: WorkTimes::default(), expected }
     }
 
     /// Returns the load of a backend server with `slots` slots and `flows` flows.
@@ -63,9 +66,9 @@
         self.expected.values().filter(|at| now.since(**at) < EXPECT_TIME).count()
     }
 
-    /// Returns the service time of one request in a free slot.
-    pub fn service_time(&self) -> Duration {
-        self.meter.service_time()
+    /// Returns the expected time of a request of a route in a free slot.
+    pub fn expected_work(&self, route: &SocketAddr) -> Duration {
+        self.work.expected(route, self.meter.service_time())
     }
 
     /// Queues a request; returns false if the queue is full.
@@ -103,8 +106,9 @@
         self.meter.abandon(now);
     }
 
-    /// Records the answer to a request after `took`.
-    pub fn end(&mut self, took: Duration, slots: u32, now: Moment) {
+    /// Records the answer to a request of a route after `took`.
+    pub fn end(&mut self, route: SocketAddr, took: Duration, slots: u32, now: Moment) {
+        self.work.record(route, self.meter.in_slot(took, slots));
         self.meter.end(took, slots, now);
     }
 
@@ -117,6 +121,7 @@
     /// Discards all requests after the backend server has lost them.
     pub fn clear(&mut self, now: Moment) {
         self.meter.clear(now);
+        self.work.clear();
         self.queue.clear();
         self.expected.clear();
     }
--- a/lib/src/request/load_meter.rs
+++ b/lib/src/request/load_meter.rs
@@ -83,11 +83,17 @@
         self.busy = self.busy.saturating_sub(1);
     }
 
-    /// Records the answer to a request after `took`.
-    pub fn end(&mut self, took: Duration, slots: u32, now: Moment) {
+    /// Returns the part of `took` that a request which ends now has spent in a slot.
+    pub fn in_slot(&self, took: Duration, slots: u32) -> Duration {
         // With more requests than slots, part of the time was spent in a queue.
         let queued = (f64::from(self.busy) / f64::from(slots.max(1))).max(1.0);
-        let sample = (took.as_micros() as f64 / queued).min(self.service_time * MAX_SAMPLE_RATIO);
+        took.div_f64(queued)
+    }
+
+    /// Records the answer to a request after `took`.
+    pub fn end(&mut self, took: Duration, slots: u32, now: Moment) {
+        let sample = self.in_slot(took, slots).as_micros() as f64;
+        let sample = sample.min(self.service_time * MAX_SAMPLE_RATIO);
         self.service_time += GAIN * (sample - self.service_time);
         self.abandon(now);
     }
--- a/lib/tests/packet_load.rs
+++ b/lib/tests/packet_load.rs
@@ -40,7 +40,8 @@
 /// A request that arrives at `since`.
 fn request(since: Moment, priority: u8) -> QueuedRequest {
     let (target, deadline) = (since + TARGET, since + TIMEOUT);
-    QueuedRequest { packets: Vec::new(), since, priority, target, deadline }
+    let work = Duration::from_millis(30);
+    QueuedRequest { packets: Vec::new(), since, priority, target, deadline, work }
 }
 
 /// Service time of a request: about 60 ms, as on a cold, slow backend server; a
@@ -141,7 +142,7 @@
 
 impl Queue for AgentQueue {
     fn push(&mut self, i: usize, at: Moment) {
-        let request = request(at, 1);
+        let request = QueuedRequest { work: Duration::from_millis(60), ..request(at, 1) };
         self.1.push(flow(i));
         assert!(self.0.push(flow(i), request));
     }
@@ -392,3 +393,46 @@
         }
     }
 }
+
+/// One caller with many flows must not make those of all others late.
+#[test]
+fn a_caller_with_many_flows_delays_only_itself() {
+    let now = Moment::from_millis(1_000);
+    let mut queue = RequestQueue::default();
+    let by =
+        |caller: u8, port: u16| FlowKey { caller: ([100, 64, 0, caller], port).into(), ..flow(0) };
+    for port in 0..50 {
+        queue.push(by(1, 1_000 + port), request(now, 1));
+    }
+    for caller in 2..6 {
+        queue.push(by(caller, 1_000), request(now + Duration::from_millis(1), 1));
+    }
+    let work = Duration::from_millis(30);
+    let mut order = Vec::new();
+    while let Some((flow, _)) = queue.pop(work, now) {
+        order.push(flow.caller);
+    }
+    let last = order.iter().rposition(|c| *c != ([100, 64, 0, 1], c.port()).into());
+    assert_eq!(order.len(), 54);
+    assert!(last < Some(10), "{last:?}");
+}
+
+/// Other callers that keep sending must not hold up a caller beyond its share.
+#[test]
+fn a_caller_with_many_flows_gets_its_share() {
+    let now = Moment::from_millis(1_000);
+    let mut queue = RequestQueue::default();
+    let by =
+        |caller: u8, port: u16| FlowKey { caller: ([100, 64, 0, caller], port).into(), ..flow(0) };
+    for port in 0..50 {
+        queue.push(by(1, 1_000 + port), request(now, 1));
+    }
+    let mut served = 0;
+    for port in 0..100 {
+        queue.push(by(2, 1_000 + port), request(now + Duration::from_millis(1), 1));
+        queue.push(by(3, 1_000 + port), request(now + Duration::from_millis(1), 1));
+        let (flow, _) = queue.pop(Duration::from_millis(30), now).unwrap();
+        served += usize::from(flow.caller.ip() == by(1, 0).caller.ip());
+    }
+    assert!((25..=40).contains(&served), "{served}");
+}
--- a/lib/tests/packet_load/fleet.rs
+++ b/lib/tests/packet_load/fleet.rs
@@ -358,6 +358,7 @@
             priority: class.priority,
             target: now + Duration::from_millis(class.target_ms) - TRANSIT,
             deadline: now + Duration::from_millis(class.timeout_ms) - TRANSIT,
+            work: self.servers[call.server].waiting.expected_work(&call.key.service),
         };
         let (server, key) = (call.server, call.key);
         self.servers[server].waiting.push(key, request);
@@ -401,7 +402,8 @@
         let now = self.now;
         self.servers[i].running -= 1;
         let took = now.since(self.calls[id].started);
-        self.servers[i].waiting.end(took, self.load.slots, now);
+        let route = self.calls[id].key.service;
+        self.servers[i].waiting.end(route, took, self.load.slots, now);
         self.answered[i] += 1;
         self.record(id, Some(now + CALLER_DELAY));
         self.run_slots(i);
