Bound what a started or recovered backend server accepts

Cause: a backend server that has just started looks idle to more than 40 homes at once; of a tenth that joined at the peak of customer 1, 331 of 1,182 answers within 2 s were late. A home's suspicion added 10 s to the cost, although a suspect is drawn only if no other can be.

Change: Pace bounds what an agent accepts after a start, a refusal or silence; it grows by all slots in 1.2 s and halves after bad answers in a row. Load::bound carries it, homes draw by it. Requests that are here use any free slot. Homes count open flows with the work that flows of the service bring.

--- a/lib/src/connection/candidate.rs
+++ b/lib/src/connection/candidate.rs
@@ -21,6 +21,8 @@
 /// Share of the slots in use from which on the failure domain no longer counts: the
 /// backend servers of a domain with many callers would otherwise make them late.
 const LOCAL_UTILISATION: f64 = 0.7;
+/// Share of all slots below which the bounds of the backend servers don't count.
+const MOST_SLOTS: f64 = 0.7;
 /// Factor for a backend server that recently missed an offer, so that it is drawn only if
 /// no other can be.
 const SUSPECT_FACTOR: f64 = 1e-9;
@@ -32,15 +34,17 @@
     pub link: SocketAddr,
     /// Expected completion time and penalties in microseconds.
     pub cost: f64,
-    // Free capacity in slots per microsecond of service time, if its agent reported.
-    free: Option<f64>,
-    // Preference apart from the load.
-    factor: f64,
+    // Its report, if its agent sent one.
+    load: Option<Load>,
+    // In the caller's failure domain.
+    local: bool,
+    // Recently missed an offer.
+    suspect: bool,
 }
 
 impl Candidate {
-    /// Creates a candidate with the load that its agent reported, if it did. `local` tells that it is
-    /// in the caller's failure domain, `suspect` that it recently missed an offer.
+    /// Creates a candidate with the load that its agent reported, if it did. `local` tells
+    /// that it is in the caller's failure domain, `suspect` that it recently missed an offer.
     pub fn open(
         link: SocketAddr,
         load: Option<&Load>,
@@ -48,13 +52,55 @@
         local: bool,
         suspect: bool,
     ) -> Self {
-        let trust = if suspect { SUSPECT_FACTOR } else { 1.0 };
-        let Some(load) = load else { return Self { link, cost, free: None, factor: trust } };
-        let slots = f64::from(load.bound.min(load.slots).max(1));
-        let used = f64::from(load.mean) / 100.0;
-        let free = (slots - used).max(MIN_FREE * slots) / f64::from(load.service_time.max(1));
-        let local = if local && used < LOCAL_UTILISATION * slots { LOCAL_FACTOR } else { 1.0 };
-        Self { link, cost, free: Some(free), factor: local * trust }
+        Self { link, cost, load: load.copied(), local, suspect }
+    }
+
+    /// Returns the free slots per microsecond of service time, and whether most slots are in
+    /// use. The flows of a backend server that has just started bring their work only
+    /// later, so that they count at least as those of the others.
+    fn free(&self, all: &Totals) -> Option<(f64, bool)> {
+        let load = self.load?;
+        let slots = if all.bounded { load.slots } else { load.bound.min(load.slots) };
+        let slots = f64::from(slots.max(1));
+        let service_time = f64::from(load.service_time.max(1));
+        let by_flows = f64::from(load.flows) * service_time * all.rate;
+        let used = (f64::from(load.mean) / 100.0).max(by_flows);
+        let free = (slots - used).max(MIN_FREE * slots) / service_time;
+        Some((free, used >= LOCAL_UTILISATION * slots))
+    }
+
+    /// Returns the probability of a draw, relative to the other candidates.
+    fn weight(&self, all: &Totals, mean: f64) -> f64 {
+        let trust = if self.suspect { SUSPECT_FACTOR } else { 1.0 };
+        trust
+            * match self.free(all) {
+                Some((free, false)) if self.local => free * LOCAL_FACTOR,
+                Some((free, _)) => free,
+                None => mean,
+            }
+    }
+}
+
+/// What the reports of all candidates say together.
+#[derive(Clone, Copy, Debug)]
+struct Totals {
+    // Requests of one flow in a microsecond.
+    rate: f64,
+    // Whether most of the slots are bounded, as after a start of all backend servers. Then
+    // there is no alternative, and the bounds don't count.
+    bounded: bool,
+}
+
+impl Totals {
+    fn of(loads: impl Iterator<Item = Load>) -> Self {
+        let (mut used, mut work, mut slots, mut bound) = (0.0, 0.0, 0.0, 0.0);
+        for load in loads {
+            used += f64::from(load.mean) / 100.0;
+            work += f64::from(load.flows) * f64::from(load.service_time);
+            slots += f64::from(load.slots);
+            bound += f64::from(load.bound.min(load.slots));
+        }
+        Self { rate: used / f64::max(work, 1.0), bounded: bound < slots * MOST_SLOTS }
     }
 }
 
@@ -63,9 +109,10 @@
 /// An agent that was not heard from, as when the reports of a failure domain are cut, counts
 /// as the mean of the others: as an idle one, it would get several times its share.
 pub fn choose<'a>(candidates: &'a [Candidate], rng: &mut impl Rng) -> Option<&'a Candidate> {
-    let known: Vec<f64> = candidates.iter().filter_map(|c| c.free).collect();
+    let all = Totals::of(candidates.iter().filter_map(|c| c.load));
+    let known: Vec<f64> = candidates.iter().filter_map(|c| Some(c.free(&all)?.0)).collect();
     let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-    let weights: Vec<f64> = candidates.iter().map(|c| c.free.unwrap_or(mean) * c.factor).collect();
+    let weights: Vec<f64> = candidates.iter().map(|c| c.weight(&all, mean)).collect();
     let drawn: Vec<_> = (0..DRAWS).filter_map(|_| draw(candidates, &weights, rng)).collect();
     drawn.into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -443,7 +443,7 @@
         let segment = packet.segment;
         let flow = segment.flow;
         if segment.is_opening() {
-            match self.backend.take_refused(&flow) {
+            match self.backend.take_refused(&flow, now) {
                 Some(Some(placer)) => {
                     self.context.send(placer, Message::Declined { flow, why: Decline::Full });
                 }
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -62,11 +62,13 @@
     /// Creates the state of a backend server that is not known yet. `complete`
     /// tells that it has no flows.
     pub fn open(complete: bool, now: Moment) -> Self {
+        let mut waiting = Waiting::open(now);
+        waiting.restart(now);
         Self {
             health: BackendHealth::open(complete, now),
             served: ServedFlows::default(),
             probes: Probes::default(),
-            waiting: Waiting::open(now),
+            waiting,
         }
     }
 
@@ -398,12 +400,13 @@
     /// Removes a flow whose opening packet the backend server returned. Returns
     /// the agent that placed the flow, which is `Some(None)` for this one, or
     /// `None` if the flow was not opening.
-    pub fn take_refused(&mut self, flow: &FlowKey) -> Option<Option<SocketAddr>> {
+    pub fn take_refused(&mut self, flow: &FlowKey, now: Moment) -> Option<Option<SocketAddr>> {
         match self.served.get(flow) {
             Some(ServedFlow::Opening(f)) => {
                 let placer = f.placer;
                 self.served.remove(flow);
                 self.waiting.cancel(flow);
+                self.waiting.lost(self.health.slots(), now);
                 Some(placer)
             }
             _ => None,
@@ -501,6 +504,7 @@
         for (flow, _) in &late {
             self.served.remove(flow);
             self.waiting.cancel(flow);
+            self.waiting.lost(self.health.slots(), now);
             if self.health.missed(now) {
                 let event = Event::of(Decision::BackendSilent).reason(Reason::Shed);
                 context.record(event.flow(*flow));
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -35,9 +35,6 @@
 const DOMAIN_PENALTY: Duration = Duration::from_millis(3);
 /// Penalty of a backend server whose agent was not heard from recently.
 const UNHEARD_PENALTY: Duration = Duration::from_millis(50);
-/// Penalty of a backend server that recently missed an offer, so that it is
-/// chosen only if no other can be.
-const SUSPECT_PENALTY: Duration = Duration::from_secs(10);
 
 /// Chooses backend servers for new flows.
 #[derive(Debug)]
@@ -216,15 +213,13 @@
             let accepts = fits && backend.accepts_flows(now);
             return accepts.then(|| backend.load(now).completion(0));
         }
-        let suspect = self.neighbours.is_suspect(link, now);
-        let penalty = if suspect { SUSPECT_PENALTY.as_micros() as f64 } else { 0.0 };
         match self.neighbours.get(link) {
             Some(n) if !n.accepting || n.service != member.service => None,
-            Some(n) => Some(n.load.completion(n.charged) + penalty),
+            Some(n) => Some(n.load.completion(n.charged)),
             None => {
                 let charged = self.neighbours.charged_unheard(link);
                 let load = Load::unknown(member.slots);
-                Some(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64 + penalty)
+                Some(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64)
             }
         }
     }
--- a/lib/src/front/packet/waiting.rs
+++ b/lib/src/front/packet/waiting.rs
@@ -8,6 +8,7 @@
 use crate::connection::segment::Packet;
 use crate::request::load_meter::Load;
 use crate::request::load_meter::LoadMeter;
+use crate::request::pace::Pace;
 use crate::request::request_queue::QueuedRequest;
 use crate::request::request_queue::RequestQueue;
 use crate::request::work_times::WorkTimes;
@@ -30,21 +31,34 @@
     queue: RequestQueue,
     meter: LoadMeter,
     work: WorkTimes,
+    pace: Pace,
     // Flows that were accepted and have not sent a request, with the time.
     expected: HashMap<FlowKey, Moment>,
 }
 
 impl Waiting {
-    /// Opens without any request.
+    /// Opens without any request or bound.
     pub fn open(now: Moment) -> Self {
         let (queue, expected) = (RequestQueue::default(), HashMap::new());
-        Self { queue, meter: LoadMeter::open(now), work: WorkTimes::default(), expected }
+        let (meter, work) = (LoadMeter::open(now), WorkTimes::default());
+        Self { queue, meter, work, pace: Pace::open(), expected }
     }
 
     /// Returns the load of a backend server with `slots` slots and `flows` flows.
     pub fn load(&mut self, slots: u32, flows: usize, now: Moment) -> Load {
         let waiting = self.queue.count() + self.expected(now);
-        self.meter.load(slots, waiting, flows, now)
+        let bound = self.pace.bound(slots, now).min(u32::from(u16::MAX)) as u16;
+        Load { bound, ..self.meter.load(slots, waiting, flows, now) }
+    }
+
+    /// Begins the pace of a backend server that has started.
+    pub fn restart(&mut self, now: Moment) {
+        self.pace.restart(now);
+    }
+
+    /// Records that the backend server refused a flow or did not answer in time.
+    pub fn lost(&mut self, slots: u32, now: Moment) {
+        self.pace.lost(slots, now);
     }
 
     /// Records that a flow was accepted, whose first request follows.
@@ -55,10 +69,11 @@
         self.expected.insert(flow, now);
     }
 
-    /// Returns whether all of `slots` slots are taken and others wait.
+    /// Returns whether more requests are here than the backend server bears, which is at
+    /// most `slots`, and others wait.
     pub fn is_busy(&self, slots: u32, now: Moment) -> bool {
         let ahead = self.queue.count() + self.expected(now);
-        self.meter.busy().saturating_add(ahead as u32) >= slots.saturating_add(BUSY_AHEAD)
+        self.meter.busy().saturating_add(ahead as u32) >= self.pace.bound(slots, now) + BUSY_AHEAD
     }
 
     /// Returns the number of accepted flows whose first request is still to come.
@@ -108,7 +123,9 @@
 
     /// Records the answer to a request of a route after `took`.
     pub fn end(&mut self, route: SocketAddr, took: Duration, slots: u32, now: Moment) {
-        self.work.record(route, self.meter.in_slot(took, slots));
+        let work = self.meter.in_slot(took, slots);
+        self.pace.answered(work, self.work.expected(&route, work), slots, now);
+        self.work.record(route, work);
         self.meter.end(took, slots, now);
     }
 
@@ -118,10 +135,11 @@
         self.queue.expire(now)
     }
 
-    /// Discards all requests after the backend server has lost them.
+    /// Discards all requests after the backend server has lost them, and begins its pace.
     pub fn clear(&mut self, now: Moment) {
         self.meter.clear(now);
         self.work.clear();
+        self.pace.restart(now);
         self.queue.clear();
         self.expected.clear();
     }
--- a/lib/src/request/load_meter.rs
+++ b/lib/src/request/load_meter.rs
@@ -142,7 +142,8 @@
     pub fn completion(&self, pending: u32) -> f64 {
         let mean = f64::from(self.mean) / 100.0;
         let ahead = f64::from(self.busy).max((f64::from(self.busy) + mean) / 2.0);
-        let used = (ahead + f64::from(pending) + 1.0) / f64::from(self.slots.max(1));
+        let slots = self.bound.min(self.slots).max(1);
+        let used = (ahead + f64::from(pending) + 1.0) / f64::from(slots);
         f64::from(self.service_time) * (used.max(1.0) + UTILISATION_WEIGHT * used)
     }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -14,6 +14,7 @@
 pub mod load_meter;
 pub mod local_witness;
 pub mod message;
+pub mod pace;
 pub mod request_queue;
 pub mod requests;
 pub mod retry_budget;
--- a/lib/tests/packet_load/customers.rs
+++ b/lib/tests/packet_load/customers.rs
@@ -41,6 +41,12 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FaultKind {
+    /// The backend server has not started.
+    Absent,
+    /// The backend server returns opening packets.
+    Refuses,
+    /// The agent loses what it knows of the backend server's condition.
+    Restarts,
     /// Reports don't reach the homes.
     Cut,
     /// The agent does nothing.
