--- a/daemon/src/connection/packet/keep_alive.rs
+++ b/daemon/src/connection/packet/keep_alive.rs
@@ -23,6 +23,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before a closed or failed connection is opened again.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Delay before a connection that was open is opened again. An agent may be stopped shortly
+/// after its backend server has ended, and must know by then that the address refuses.
+const REOPEN_DELAY: Duration = Duration::from_millis(20);
 
 /// Keeps a connection to the backend server at `address` open and reports its
 /// state to the traffic thread, until that thread ends.
@@ -31,6 +34,7 @@
 /// server.
 pub async fn maintain(address: SocketAddr, traffic: mpsc::Sender<Command>) {
     loop {
+        let mut delay = RETRY_DELAY;
         let state = match timeout(KEEP_ALIVE_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => {
                 if let Err(error) = enable_probes(&stream) {
@@ -39,6 +43,7 @@
                 if report_open(stream, &traffic).await.is_err() {
                     return;
                 }
+                delay = REOPEN_DELAY;
                 KeepAlive::Closed
             }
             Ok(Err(error)) => {
@@ -56,7 +61,7 @@
         if traffic.send(Command::KeepAlive(state)).await.is_err() {
             return;
         }
-        sleep(RETRY_DELAY).await;
+        sleep(delay).await;
     }
 }
 
--- a/lib/src/connection/placement.rs
+++ b/lib/src/connection/placement.rs
@@ -14,6 +14,9 @@
 pub const MAX_PLACEMENTS: usize = 8_192;
 /// Maximum number of unanswered offers of one opening packet.
 pub const MAX_UNANSWERED: usize = 4;
+/// Maximum number of agents that may decline a flow because their slots are taken. Each
+/// decline costs about 1.5 ms and two messages; a third one gained nothing.
+const MAX_BUSY: usize = 2;
 /// Time for an agent to report that its backend server answered: a handshake
 /// takes less than 5 ms, a VM may be paused for some tens of milliseconds.
 pub const OFFER_TIMEOUT: Duration = Duration::from_millis(40);
@@ -28,6 +31,14 @@
     pub declined: Option<Reason>,
 }
 
+impl Offer {
+    /// Returns whether the agent declined only because all slots were taken; it accepts a
+    /// firm offer.
+    fn is_busy(&self) -> bool {
+        self.declined == Some(Reason::Busy)
+    }
+}
+
 /// A placement in progress.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -59,6 +70,18 @@
         self.offers.iter().find(|o| o.link == link)
     }
 
+    /// Returns whether the agent at `link` declined only because its slots were taken, and
+    /// has had no firm offer.
+    pub fn may_offer_firmly(&self, link: SocketAddr) -> bool {
+        let mut offers = self.offers.iter().filter(|o| o.link == link);
+        offers.next().is_some_and(Offer::is_busy) && offers.next().is_none()
+    }
+
+    /// Returns whether the next offer is firm, after enough agents were busy.
+    pub fn is_firm(&self) -> bool {
+        self.offers.iter().filter(|o| o.is_busy()).count() >= MAX_BUSY
+    }
+
     /// Records why the agent at `link` declined for certain.
     pub fn decline(&mut self, link: SocketAddr, reason: Reason) {
         let offers = self.offers.iter_mut().filter(|o| o.link == link);
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -295,8 +295,8 @@
                 let entry = if entry.port() == 0 { from } else { entry };
                 self.deliver(entry, direct, packet, now);
             }
-            Message::Place { entry, service } => {
-                self.handle_place(from, entry, service, packet, now)
+            Message::Place { entry, service, firm } => {
+                self.handle_place(from, entry, service, firm, packet, now)
             }
             Message::Search { entry, probe } => self.handle_search(from, entry, probe, packet, now),
             _ => self.context.tally.add(Reason::Malformed),
@@ -460,6 +460,7 @@
         home: SocketAddr,
         entry: SocketAddr,
         service: Name,
+        firm: bool,
         packet: Packet,
         now: Moment,
     ) {
@@ -468,6 +469,9 @@
             false => Err(Decline::WrongService),
             // Another home may have placed the flow here already.
             true if self.backend.has_answered(&packet.segment) => Ok(()),
+            true if !firm && self.backend.is_busy(now) => {
+                Err(Decline::Busy { load: self.backend.load(now) })
+            }
             true => self.backend.check_opening(now),
         };
         match check {
@@ -530,7 +534,7 @@
         let segment = packet.segment;
         let flow = segment.flow;
         if segment.is_opening() {
-            match self.backend.take_refused(&flow) {
+            match self.backend.take_refused(&flow, now) {
                 Some(Some(placer)) => {
                     self.context.send(placer, Message::Declined { flow, why: Decline::Full });
                 }
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -192,7 +192,10 @@
         let gone = self.member.as_ref().is_none_or(|m| !m.same_run(last));
         let gone = gone && now.since(self.last_heard) >= DEAD_AFTER;
         let dead = self.liveness.condition() == Condition::Dead;
-        self.keep_alive != KeepAlive::Open && (dead || gone)
+        // An agent is stopped after its backend server, or alone, and then the connection
+        // stays open. So a refusal that follows its end needs no time without packets.
+        let refused = self.keep_alive == KeepAlive::Refused;
+        refused || self.keep_alive != KeepAlive::Open && (dead || gone)
     }
 
     /// Returns whether the agent stops.
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -71,6 +71,8 @@
     /// Creates the state of a backend server that is not known yet.
     pub fn open(me: &Identity, now: Moment) -> Self {
         let complete = me.first_start;
+        let mut waiting = Waiting::open(now);
+        waiting.restart(now);
         Self {
             health: BackendHealth::open(complete, now),
             gate: Gate::open(now),
@@ -78,7 +80,7 @@
             served: ServedFlows::default(),
             overdue: OverdueOpenings::default(),
             probes: Probes::default(),
-            waiting: Waiting::open(now),
+            waiting,
         }
     }
 
@@ -164,6 +166,11 @@
         Load { openings: self.warm_up.openings(now), ..load }
     }
 
+    /// Returns whether a new flow had better go to a backend server with free slots.
+    pub fn is_busy(&self, now: Moment) -> bool {
+        self.waiting.is_busy(self.health.slots(), now)
+    }
+
     /// Begins a planned stop of the agent: no new flows are accepted.
     pub fn leave(&mut self) {
         self.health.leave();
@@ -219,8 +226,11 @@
         let caller_isn = Some(packet.segment.seq);
         let opening = Flow::<Opening>::open(Some(entry), placer, now);
         let opening = Flow { waited, caller_isn, ..opening };
-        if !self.has_answered(&packet.segment) && !self.served.put(flow, opening) {
-            context.tally.add(Reason::FlowsFull);
+        if !self.has_answered(&packet.segment) {
+            self.waiting.expect(flow, now);
+            if !self.served.put(flow, opening) {
+                context.tally.add(Reason::FlowsFull);
+            }
         }
         context.act(Action::Backend(packet.clone()));
     }
@@ -349,6 +359,7 @@
             priority: route.priority,
             target: now + route.target_latency.saturating_sub(waited),
             deadline: now + route.timeout.saturating_sub(waited),
+            work: self.waiting.expected_work(&flow.service),
         };
         let queued = self.waiting.push(flow, request);
         if !queued {
@@ -371,7 +382,7 @@
             self.begin_request(&flow, now);
             let held = now.since(request.since);
             context.act(Action::Measured(Phase::Held, held));
-            if now + self.waiting.service_time() > request.target {
+            if now + request.work > request.target {
                 let event = Event::of(Decision::Late).reason(Reason::Deadline).flow(flow);
                 context.record(event.value(held.as_micros() as u64));
             }
@@ -493,7 +504,8 @@
             Some(_) if segment.len == 0 => self.waiting.abandon(now),
             Some(started) => {
                 let took = now.since(started);
-                self.waiting.end(took, self.health.slots(), now);
+                let route = segment.flow.service;
+                self.waiting.end(route, took, self.health.slots(), now);
                 context.act(Action::Measured(Phase::Service, took));
             }
             None => {}
@@ -504,11 +516,13 @@
     /// Removes a flow whose opening packet the backend server returned. Returns
     /// the agent that placed the flow, which is `Some(None)` for this one, or
     /// `None` if the flow was not opening.
-    pub fn take_refused(&mut self, flow: &FlowKey) -> Option<Option<SocketAddr>> {
+    pub fn take_refused(&mut self, flow: &FlowKey, now: Moment) -> Option<Option<SocketAddr>> {
         match self.served.get(flow) {
             Some(ServedFlow::Opening(f)) => {
                 let placer = f.placer;
                 self.served.remove(flow);
+                self.waiting.cancel(flow);
+                self.waiting.lost(self.health.slots(), now);
                 Some(placer)
             }
             _ => None,
@@ -618,6 +632,8 @@
         for (flow, opening) in &late {
             self.served.remove(flow);
             self.overdue.add(*flow, opening.state.offered);
+            self.waiting.cancel(flow);
+            self.waiting.lost(self.health.slots(), now);
             if self.health.missed(now) {
                 let event = Event::of(Decision::BackendSilent).reason(Reason::Shed);
                 context.record(event.flow(*flow));
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -17,6 +17,8 @@
 use super::local_backend::LocalBackend;
 use super::message::Message;
 use super::shortage::Shortage;
+use crate::connection::candidate;
+use crate::connection::candidate::Candidate;
 use crate::connection::cold_placements::ColdPlacements;
 use crate::connection::flow::FlowKey;
 use crate::connection::placement::MAX_UNANSWERED;
@@ -37,12 +39,6 @@
 const DOMAIN_PENALTY: Duration = Duration::from_millis(3);
 /// Penalty of a backend server whose agent was not heard from recently.
 const UNHEARD_PENALTY: Duration = Duration::from_millis(50);
-/// Penalty of a backend server that recently missed an offer, so that it is
-/// chosen only if no other can be.
-const SUSPECT_PENALTY: Duration = Duration::from_secs(10);
-/// Largest random share added to the expected completion time, so that several
-/// homes don't choose the same backend server at the same time.
-const JITTER: f64 = 0.05;
 /// Longest random delay in milliseconds before a flow is offered to a cold backend server
 /// again.
 const COLD_SPREAD_MS: u64 = 20;
@@ -83,7 +79,8 @@
         let flow = placement.packet.segment.flow;
         let mut shortage = Shortage::default();
         let choice = self.choose(context, backend, &placement, &mut shortage, now);
-        let Some((link, cost)) = choice.filter(|_| placement.unanswered() < MAX_UNANSWERED) else {
+        let choice = choice.filter(|_| placement.unanswered() < MAX_UNANSWERED);
+        let Some((Candidate { link, cost, .. }, firm)) = choice else {
             self.wait_or_reject(context, placement, shortage, now);
             return;
         };
@@ -100,7 +97,7 @@
             self.neighbours.charge(link);
             self.cold.charge(link);
             let service = placement.service.clone();
-            let message = Message::Place { entry: placement.entry, service };
+            let message = Message::Place { entry: placement.entry, service, firm };
             context.send_packet(link, message, &placement.packet);
         }
         self.placements.start(placement);
@@ -121,6 +118,9 @@
         (link, why): (SocketAddr, Decline),
         now: Moment,
     ) {
+        if let Decline::Busy { load } = why {
+            self.neighbours.update_load(link, load);
+        }
         if let Some(mut placement) = self.placements.end(flow) {
             match why {
                 Decline::Cold { after_ms } => {
@@ -194,8 +194,9 @@
         }
     }
 
-    /// Returns the address and the cost of the best backend server that has not
-    /// been offered the flow yet; adds to `shortage` why others can't be.
+    /// Chooses a backend server that has not been offered the flow yet, and returns whether
+    /// the offer is firm: if enough agents were busy, or no other is left to ask. Adds to
+    /// `shortage` why others can't be chosen.
     fn choose(
         &mut self,
         context: &AgentContext,
@@ -203,12 +204,13 @@
         placement: &Placement,
         shortage: &mut Shortage,
         now: Moment,
-    ) -> Option<(SocketAddr, f64)> {
+    ) -> Option<(Candidate, bool)> {
         let pool = context.view.roster.pool(&placement.service)?;
-        let mut best: Option<(SocketAddr, f64)> = None;
+        let (mut unasked, mut busy) = (Vec::new(), Vec::new());
         for member in pool.members() {
             let link = context.link(member);
-            if let Some(offer) = placement.offer_to(link) {
+            let asked = placement.offer_to(link);
+            if let Some(offer) = asked.filter(|_| !placement.may_offer_firmly(link)) {
                 offer.declined.into_iter().for_each(|reason| shortage.add_declined(reason));
                 continue;
             }
@@ -219,15 +221,31 @@
                     continue;
                 }
             };
-            let mut cost = cost * self.rng.random_range(1.0..1.0 + JITTER);
-            if member.domain != placement.domain {
-                cost += DOMAIN_PENALTY.as_micros() as f64;
-            }
-            if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((link, cost));
-            }
+            let local = member.domain == placement.domain;
+            let far = if local { 0.0 } else { DOMAIN_PENALTY.as_micros() as f64 };
+            let suspect = self.neighbours.is_suspect(link, now);
+            let load = self.load(context, backend, link, now);
+            let candidate = Candidate::open(link, load.as_ref(), cost + far, local, suspect);
+            let full = link == context.me.link && backend.is_busy(now);
+            if asked.is_some() || full { busy.push(candidate) } else { unasked.push(candidate) }
+        }
+        let firm = placement.is_firm() || unasked.len() + busy.len() <= 1;
+        let others = if unasked.is_empty() { (&busy, true) } else { (&unasked, firm) };
+        candidate::choose(others.0, &mut self.rng).map(|c| (*c, others.1))
+    }
+
+    /// Returns the last reported load of a backend server.
+    fn load(
+        &self,
+        context: &AgentContext,
+        backend: &mut LocalBackend,
+        link: SocketAddr,
+        now: Moment,
+    ) -> Option<Load> {
+        if link == context.me.link {
+            return Some(backend.load(now));
         }
-        best
+        self.neighbours.get(link).map(|n| n.load)
     }
 
     /// Returns the expected completion time and penalties in microseconds.
@@ -262,15 +280,13 @@
         if !wait.is_zero() {
             return Err(Decline::cold(wait));
         }
-        let suspect = self.neighbours.is_suspect(link, now);
-        let penalty = if suspect { SUSPECT_PENALTY.as_micros() as f64 } else { 0.0 };
         match self.neighbours.get(link) {
             Some(n) if !n.accepting || n.service != member.service => Err(Decline::Leaving),
-            Some(n) => Ok(n.load.completion(n.charged) + penalty),
+            Some(n) => Ok(n.load.completion(n.charged)),
             None => {
                 let charged = self.neighbours.charged_unheard(link);
                 let load = Load::unknown(member.slots);
-                Ok(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64 + penalty)
+                Ok(load.completion(charged) + UNHEARD_PENALTY.as_micros() as f64)
             }
         }
     }
--- a/lib/src/request/load_meter.rs
+++ b/lib/src/request/load_meter.rs
@@ -21,7 +21,7 @@
 const AVERAGING_PERIOD_US: f64 = 500_000.0;
 
 /// Load of a backend server, as its agent reports it to other processes.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in progress and waiting.
     pub busy: u16,
@@ -83,11 +83,17 @@
         self.busy = self.busy.saturating_sub(1);
     }
 
-    /// Records the answer to a request after `took`.
-    pub fn end(&mut self, took: Duration, slots: u32, now: Moment) {
+    /// Returns the part of `took` that a request which ends now has spent in a slot.
+    pub fn in_slot(&self, took: Duration, slots: u32) -> Duration {
         // With more requests than slots, part of the time was spent in a queue.
         let queued = (f64::from(self.busy) / f64::from(slots.max(1))).max(1.0);
-        let sample = (took.as_micros() as f64 / queued).min(self.service_time * MAX_SAMPLE_RATIO);
+        took.div_f64(queued)
+    }
+
+    /// Records the answer to a request after `took`.
+    pub fn end(&mut self, took: Duration, slots: u32, now: Moment) {
+        let sample = self.in_slot(took, slots).as_micros() as f64;
+        let sample = sample.min(self.service_time * MAX_SAMPLE_RATIO);
         self.service_time += GAIN * (sample - self.service_time);
         self.abandon(now);
     }
@@ -136,7 +142,8 @@
     pub fn completion(&self, pending: u32) -> f64 {
         let mean = f64::from(self.mean) / 100.0;
         let ahead = f64::from(self.busy).max((f64::from(self.busy) + mean) / 2.0);
-        let used = (ahead + f64::from(pending) + 1.0) / f64::from(self.slots.max(1));
+        let slots = self.bound.min(self.slots).max(1);
+        let used = (ahead + f64::from(pending) + 1.0) / f64::from(slots);
         f64::from(self.service_time) * (used.max(1.0) + UTILISATION_WEIGHT * used)
     }
 }
--- a/lib/tests/evacuation.rs
+++ b/lib/tests/evacuation.rs
@@ -283,7 +283,7 @@
     let known = world.agents[0].view.clone();
     let unknown = View { evacuations: Evacuations::default().into(), ..known.clone() };
     world.agents[0].update_view(unknown, now);
-    let place = || Message::Place { entry, service: "alarm".into() };
+    let place = || Message::Place { entry, service: "alarm".into(), firm: false };
     let declined = (false, Some(Decline::Evacuated));
     assert_eq!(actions_of(&mut world, place(), opening(1, now).0), declined);
     world.agents[0].update_view(known, now);
@@ -295,7 +295,7 @@
 fn only_copies_of_answered_opening_packets_pass_an_agent_of_an_evacuated_domain() {
     let mut world = fleet(0);
     let entry = world.entries[0].link;
-    let place = || Message::Place { entry, service: "alarm".into() };
+    let place = || Message::Place { entry, service: "alarm".into(), firm: false };
     let deliver = || Message::Deliver { entry, direct: true };
     let now = world.now;
     let (answered, answer) = opening(1, now);
--- a/lib/tests/packet_load.rs
+++ b/lib/tests/packet_load.rs
@@ -13,8 +13,10 @@
 use lagoonhollow_lib::front::packet::action::Phase;
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::front::packet::message::Message;
+use lagoonhollow_lib::front::packet::waiting::Waiting;
 use lagoonhollow_lib::request::load_meter::Load;
 use lagoonhollow_lib::request::load_meter::LoadMeter;
+use lagoonhollow_lib::request::pace::Pace;
 use lagoonhollow_lib::request::request_queue::QueuedRequest;
 use lagoonhollow_lib::request::request_queue::RequestQueue;
 use lagoonhollow_lib::value::moment::Moment;
@@ -40,7 +42,8 @@
 /// A request that arrives at `since`.
 fn request(since: Moment, priority: u8) -> QueuedRequest {
     let (target, deadline) = (since + TARGET, since + TIMEOUT);
-    QueuedRequest { packets: Vec::new(), since, priority, target, deadline }
+    let work = Duration::from_millis(30);
+    QueuedRequest { packets: Vec::new(), since, priority, target, deadline, work }
 }
 
 /// Service time of a request: about 60 ms, as on a cold, slow backend server; a
@@ -141,7 +144,7 @@
 
 impl Queue for AgentQueue {
     fn push(&mut self, i: usize, at: Moment) {
-        let request = request(at, 1);
+        let request = QueuedRequest { work: Duration::from_millis(60), ..request(at, 1) };
         self.1.push(flow(i));
         assert!(self.0.push(flow(i), request));
     }
@@ -342,3 +345,111 @@
     let measured = Action::Measured(Phase::Opening, Duration::from_millis(40));
     assert!(agent.take_actions().contains(&measured));
 }
+
+/// An offer that busy agents declined must not end as a refusal of the flow.
+#[test]
+fn a_flow_is_accepted_although_all_slots_are_taken() {
+    for seed in 0..10 {
+        let mut world = World::open(seed, 2, &[("alarm", 3)]);
+        world.run(SECOND * 2);
+        let work = Duration::from_millis(50);
+        let plan = Plan { requests: 1, pause: Duration::ZERO, work, deadline: SECOND * 5 };
+        for _ in 0..120 {
+            world.call(0, plan, Duration::ZERO);
+        }
+        world.run(SECOND * 6);
+        assert_eq!(world.ended(End::Done), 120, "seed {seed}");
+    }
+}
+
+/// One caller with many flows must not make those of all others late.
+#[test]
+fn a_caller_with_many_flows_delays_only_itself() {
+    let now = Moment::from_millis(1_000);
+    let mut queue = RequestQueue::default();
+    let by =
+        |caller: u8, port: u16| FlowKey { caller: ([100, 64, 0, caller], port).into(), ..flow(0) };
+    for port in 0..50 {
+        queue.push(by(1, 1_000 + port), request(now, 1));
+    }
+    for caller in 2..6 {
+        queue.push(by(caller, 1_000), request(now + Duration::from_millis(1), 1));
+    }
+    let work = Duration::from_millis(30);
+    let mut order = Vec::new();
+    while let Some((flow, _)) = queue.pop(work, now) {
+        order.push(flow.caller);
+    }
+    let last = order.iter().rposition(|c| *c != ([100, 64, 0, 1], c.port()).into());
+    assert_eq!(order.len(), 54);
+    assert!(last < Some(10), "{last:?}");
+}
+
+/// Other callers that keep sending must not hold up a caller beyond its share.
+#[test]
+fn a_caller_with_many_flows_gets_its_share() {
+    let now = Moment::from_millis(1_000);
+    let mut queue = RequestQueue::default();
+    let by =
+        |caller: u8, port: u16| FlowKey { caller: ([100, 64, 0, caller], port).into(), ..flow(0) };
+    for port in 0..50 {
+        queue.push(by(1, 1_000 + port), request(now, 1));
+    }
+    let mut served = 0;
+    for port in 0..100 {
+        queue.push(by(2, 1_000 + port), request(now + Duration::from_millis(1), 1));
+        queue.push(by(3, 1_000 + port), request(now + Duration::from_millis(1), 1));
+        let (flow, _) = queue.pop(Duration::from_millis(30), now).unwrap();
+        served += usize::from(flow.caller.ip() == by(1, 0).caller.ip());
+    }
+    assert!((25..=40).contains(&served), "{served}");
+}
+
+/// A request must not wait for the pace while a slot is free.
+#[test]
+fn a_request_that_is_here_uses_any_free_slot() {
+    let now = Moment::from_millis(1_000);
+    let mut waiting = Waiting::open(now);
+    waiting.restart(now);
+    for i in 0..4 {
+        waiting.push(flow(i), request(now, 1));
+        assert!(waiting.next(4, now).is_some(), "{i}");
+        waiting.begin(now);
+    }
+}
+
+/// One long request must not look like a failure, and a failure must not last.
+#[test]
+fn a_pace_falls_after_bad_answers_in_a_row_and_recovers_within_1_5_s() {
+    let (usual, now) = (Duration::from_millis(30), Moment::from_millis(1_000));
+    let mut pace = Pace::open();
+    pace.answered(usual * 7, usual, 20, now);
+    pace.answered(usual, usual, 20, now);
+    assert_eq!(pace.bound(20, now), 20);
+    (0..3).for_each(|_| pace.answered(usual * 5, usual, 20, now));
+    assert_eq!(pace.bound(20, now), 10);
+    pace.restart(now);
+    assert_eq!(pace.bound(20, now), 1);
+    assert!(pace.bound(20, now + Duration::from_millis(1_500)) >= 18);
+}
+
+/// The queue of an agent that restarts and the offers of a home that dies are lost; their
+/// callers send again.
+#[test]
+fn an_agent_that_restarts_with_a_full_queue_loses_no_call() {
+    for seed in 0..10 {
+        let mut world = World::open(seed, 2, &[("alarm", 3)]);
+        world.run(SECOND * 2);
+        let work = Duration::from_millis(50);
+        let plan = Plan { requests: 1, pause: Duration::ZERO, work, deadline: SECOND * 8 };
+        for i in 0..150 {
+            world.call(0, plan, Duration::from_micros(200 * i));
+        }
+        world.run(Duration::from_millis(35));
+        world.kill_agent(0);
+        world.run(Duration::from_millis(30));
+        world.start_agent(0, false);
+        world.run(SECOND * 10);
+        assert_eq!(world.ended(End::Done), 150, "seed {seed}");
+    }
+}
