Tell packets of a later flow from those of one that its caller has closed

Cause: lib/tests/reported_failures.rs, a late copy of an answer. An agent that had served an earlier flow between the same addresses kept it, as only the caller's close had been seen. Its sequence numbers made a packet of the later flow plausible, so it was passed to the wrong backend server, which returned it, and the agent reset the flow that lives elsewhere.

Change: a caller that has closed a flow sends only again what it has sent before; other data belongs to a later flow. A returned packet of a flow that its caller has closed, or whose opening was not seen and whose caller got no answer here, is no reason for a reset: the owner is searched for.

The tests of packets, absence, runs, after_a_loss, isolation, failures, flows and reported_failures pass.

--- a/lib/src/connection/served_flows.rs
+++ b/lib/src/connection/served_flows.rs
@@ -20,6 +20,9 @@
 /// caller gives up 1.4 s after its first opening packet.
 const OPENING_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of bytes that an end has in flight: 16 packets of 1,200 bytes.
+const MAX_IN_FLIGHT: u32 = 16 * 1_200;
+
 /// State of a flow whose opening packet was passed to the backend server, which
 /// has not answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,6 +160,13 @@
         begins
     }
 
+    /// Returns whether a packet of the caller may belong to this flow by its sequence
+    /// number: after its close, a caller only sends again what it has sent before.
+    pub fn may_continue_with(&self, segment: &Segment) -> bool {
+        let next = self.state.next.filter(|_| self.state.closed.caller && segment.len > 0);
+        next.is_none_or(|next| next.wrapping_sub(segment.end()) <= MAX_IN_FLIGHT)
+    }
+
     /// Records that the request is passed to the backend server.
     pub fn start(&mut self, now: Moment) {
         self.state.request = Some(Request::Started(now));
@@ -166,7 +176,9 @@
     /// that the packet begins to answer, or ends without an answer.
     pub fn from_backend(&mut self, segment: &Segment, now: Moment) -> Option<Moment> {
         self.used = now;
-        self.state.proven = true;
+        // A late packet of an earlier flow between the same addresses proves nothing, so a
+        // flow whose opening was not seen is proven only by an answer to its caller.
+        self.state.proven |= self.state.isn.is_some() || self.state.next.is_some();
         self.state.closed.backend |= segment.flags.closes;
         match self.state.request {
             Some(Request::Started(at)) if segment.len > 0 || segment.flags.closes => {
@@ -224,6 +236,12 @@
         !matches!(self, Self::Opening(_))
     }
 
+    /// Returns whether packets of both ends have shown that the backend server has the flow.
+    /// Once the caller has closed it, a later flow elsewhere may use its addresses.
+    pub fn is_proven(&self) -> bool {
+        matches!(self, Self::Established(f) if f.state.proven && !f.state.closed.caller)
+    }
+
     /// Returns whether a caller's packet with acknowledgement number `ack`, if it has one,
     /// belongs to this flow.
     pub fn is_acked_by(&self, ack: Option<u32>) -> bool {
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -271,7 +271,7 @@
             ServedFlow::Answered(_) => return Err(NotServed::Absent),
             ServedFlow::Established(flow) => {
                 let other = |isn| segment.flags.acks && segment.acked_bytes(isn).is_none();
-                if flow.state.isn.is_some_and(other) {
+                if flow.state.isn.is_some_and(other) || !flow.may_continue_with(segment) {
                     return Err(NotServed::Absent);
                 }
             }
@@ -532,7 +532,7 @@
     /// Returns whether packets of both ends have shown that the backend server
     /// has the flow. If it returns a packet of such a flow, the flow is over.
     pub fn is_proven(&self, flow: &FlowKey) -> bool {
-        matches!(self.served.get(flow), Some(ServedFlow::Established(f)) if f.state.proven)
+        self.served.get(flow).is_some_and(ServedFlow::is_proven)
     }
 
     /// Records a packet that any run of the backend server may have sent.
