Tell others that a backend server has ended also if it was not registered

Change: Ended names the run only if there is one; a refusal by the address is enough for it.

Result: lib/tests/{after_a_loss,searches,packets,absence}.rs pass.

--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -363,8 +363,9 @@
                 }
                 self.follow_runs(now);
             }
-            Message::Ended { link, run, name, born } => {
-                let ended = EndedRun { agent: run, name, born };
+            Message::Ended { link, run, ended } => {
+                let born = ended.as_ref().map_or(0, |run| run.start);
+                let ended = EndedRun { agent: run, run: ended };
                 if self.placer.neighbours.end(link, ended, now) {
                     self.context.record(Event::of(Decision::PeerRunEnded).peer(link).value(born));
                     self.review_absences(now);
@@ -658,11 +659,9 @@
         for owned in self.home.owned_by(link) {
             self.context.send(link, owned);
         }
-        for (ended, EndedRun { agent: run, name, born }) in
-            self.placer.neighbours.ended().take(ENDED_PER_HELLO)
-        {
-            let (name, born) = (name.clone(), *born);
-            self.context.send(link, Message::Ended { link: ended, run: *run, name, born });
+        for (agent, ended) in self.placer.neighbours.ended().take(ENDED_PER_HELLO) {
+            let (run, ended) = (ended.agent, ended.run.clone());
+            self.context.send(link, Message::Ended { link: agent, run, ended });
         }
         let service = self.backend.service(&self.context).clone();
         let context = &self.context;
--- a/lib/src/front/packet/backend_health.rs
+++ b/lib/src/front/packet/backend_health.rs
@@ -186,16 +186,22 @@
         self.complete = true;
     }
 
-    /// Returns whether the run `last`, the last one that was registered, has ended: the
-    /// address refuses packets, or the entry is gone and the keep-alive connection closed.
-    pub fn has_ended(&self, last: &Member, now: Moment) -> bool {
-        let gone = self.member.as_ref().is_none_or(|m| !m.same_run(last));
-        let gone = gone && now.since(self.last_heard) >= DEAD_AFTER;
+    /// Returns whether the run `last`, the last one that was registered since the agent
+    /// started, has ended: the address refuses connections, or the entry is gone and the
+    /// keep-alive connection closed. Of a backend server that was not registered, only a
+    /// refusal tells.
+    ///
+    /// An agent is stopped after its backend server, or alone, and then the connection stays
+    /// open. So a refusal that follows its end needs no time without packets.
+    pub fn has_ended(&self, last: Option<&Member>, now: Moment) -> bool {
         let dead = self.liveness.condition() == Condition::Dead;
-        // An agent is stopped after its backend server, or alone, and then the connection
-        // stays open. So a refusal that follows its end needs no time without packets.
-        let refused = self.keep_alive == KeepAlive::Refused;
-        refused || self.keep_alive != KeepAlive::Open && (dead || gone)
+        let replaced = |last: &Member| self.member.as_ref().is_none_or(|m| !m.same_run(last));
+        let gone = last.is_some_and(replaced) && now.since(self.last_heard) >= DEAD_AFTER;
+        match self.keep_alive {
+            KeepAlive::Open => false,
+            KeepAlive::Closed => dead || gone,
+            KeepAlive::Refused => true,
+        }
     }
 
     /// Returns whether the agent stops.
--- a/lib/src/front/packet/message.rs
+++ b/lib/src/front/packet/message.rs
@@ -14,6 +14,7 @@
 use crate::value::name::Name;
 use crate::value::wall_time::WallTime;
 use crate::version::revision::Revision;
+use crate::version::run::Run;
 
 /// The versions that a process knows; every message carries them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -195,10 +196,8 @@
         link: SocketAddr,
         /// Its run.
         run: Incarnation,
-        /// Name of the backend server.
-        name: Name,
-        /// Start of its run in Unix milliseconds.
-        born: u64,
+        /// The run of the backend server, if it was registered since the agent started.
+        ended: Option<Run>,
     },
 }
 
--- a/lib/src/front/packet/run_evidence.rs
+++ b/lib/src/front/packet/run_evidence.rs
@@ -102,18 +102,19 @@
     fn tell_end(&mut self, context: &mut AgentContext, backend: &LocalBackend, now: Moment) {
         let (rounds, at) = self.told;
         let due = rounds == 0 || rounds < ENDED_ROUNDS && now.since(at) >= ENDED_INTERVAL;
-        let Some(last) = self.last.as_ref().filter(|_| due) else { return };
-        if !backend.health().has_ended(last, now) {
+        let last = self.last.as_ref();
+        if !due || !backend.health().has_ended(last.map(Arc::as_ref), now) {
             return;
         }
         self.told = (rounds + 1, now);
         let routes = &context.view.routes.published().routes;
-        let routes = routes.iter().filter(|r| r.holders().any(|s| *s == last.service));
+        let service = last.map_or(&context.me.service, |m| &m.service);
+        let routes = routes.iter().filter(|r| r.holders().any(|s| s == service));
         let mut services: BTreeSet<_> = routes.flat_map(|r| r.holders()).collect();
-        services.insert(&last.service);
+        services.insert(service);
         let links: BTreeSet<_> = services.into_iter().flat_map(|s| context.peers(s)).collect();
         let (link, run) = (context.me.link, context.me.run);
-        let ended = Message::Ended { link, run, name: last.name.clone(), born: last.born };
+        let ended = Message::Ended { link, run, ended: last.map(|m| m.run()) };
         for peer in links {
             context.send(peer, ended.clone());
         }
--- a/lib/src/process/ended_runs.rs
+++ b/lib/src/process/ended_runs.rs
@@ -6,8 +6,8 @@
 
 use crate::value::incarnation::Incarnation;
 use crate::value::moment::Moment;
-use crate::value::name::Name;
 use crate::version::member::Member;
+use crate::version::run::Run;
 
 /// Time for which an ended run is remembered; its registry entry has lapsed by then.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -19,10 +19,8 @@
 pub struct EndedRun {
     /// The process of the agent beside it, which said so.
     pub agent: Incarnation,
-    /// Name of the backend server.
-    pub name: Name,
-    /// Start of the run in Unix milliseconds.
-    pub born: u64,
+    /// The run, if it was registered while that process ran.
+    pub run: Option<Run>,
 }
 
 /// The ended runs by the addresses of their agents. Answers the load of searches while VMs
@@ -62,7 +60,7 @@
     /// one that the roster lists there.
     pub fn covers(&self, link: SocketAddr, member: Option<&Member>) -> bool {
         let Some((ended, _)) = self.by_link.get(&link) else { return false };
-        member.is_none_or(|m| m.name == ended.name && m.born == ended.born)
+        member.is_none_or(|m| ended.run.as_ref() == Some(&m.run()))
     }
 
     /// Forgets runs that ended long ago.
--- a/lib/src/version/run.rs
+++ b/lib/src/version/run.rs
@@ -2,11 +2,14 @@
 
 use std::cmp::Ordering;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::value::name::Name;
 
 /// One run of the backend server with this name. Runs of one name are ordered by their
 /// start; runs of different names are not ordered.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Run {
     /// Name under which the backend server registered.
     pub name: Name,
