--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -1,11 +1,13 @@
 //! The backend server beside an agent: its flows, queued requests and liveness.
 
+mod replies;
+mod requests;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::action::Action;
-use super::action::Phase;
 use super::backend_health::BackendHealth;
 use super::context::AgentContext;
 use super::context::Identity;
@@ -29,7 +31,6 @@
 use crate::connection::served_flows::ServedFlows;
 use crate::process::liveness::KeepAlive;
 use crate::request::load_meter::Load;
-use crate::request::request_queue::QueuedRequest;
 use crate::request::warm_up::WarmUpLimit;
 use crate::value::moment::Moment;
 use crate::value::name::Name;
@@ -37,9 +38,6 @@
 
 /// Time for the backend server to answer an opening packet.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-/// Allowance for the way from and to the caller and for opening the flow; a
-/// request's time limits are shortened by it.
-const TRANSIT_TIME: Duration = Duration::from_millis(12);
 /// Time after the first opening packet at which the caller sends each copy.
 const RETRANSMIT_DELAYS: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
@@ -235,80 +233,6 @@
         context.act(Action::Backend(packet.clone()));
     }
 
-    /// Passes a packet of a flow that is served here to the backend server, or queues it.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the packet was not passed on.
-    pub fn deliver(
-        &mut self,
-        context: &mut AgentContext,
-        packet: &Packet,
-        entry: SocketAddr,
-        now: Moment,
-    ) -> Result<(), NotServed> {
-        let segment = &packet.segment;
-        self.end_followed(context, segment, now);
-        let missing =
-            if self.health.is_complete() { NotServed::Absent } else { NotServed::Unknown };
-        let open = self.check_new_flow(now).is_ok();
-        if segment.is_opening()
-            && self.served.get(&segment.flow).is_some()
-            && !self.pass_opening(context, &segment.flow, now)
-        {
-            return Ok(());
-        }
-        let served = self.served.get_mut(&segment.flow).ok_or(missing)?;
-        match served {
-            // It may open only now, by a copy of a packet that was lost.
-            ServedFlow::Opening(_) if segment.is_opening() && !open => return Err(missing),
-            ServedFlow::Opening(flow) => flow.entry = Some(entry),
-            ServedFlow::Answered(flow) if segment.is_opening() => flow.entry = Some(entry),
-            ServedFlow::Answered(flow) if segment.completes_handshake(flow.state.isn) => {
-                *served = flow.establish(now).into();
-            }
-            // The caller chose another backend server that answered too.
-            ServedFlow::Answered(_) => return Err(NotServed::Absent),
-            ServedFlow::Established(flow) => {
-                let other = |isn| segment.flags.acks && segment.acked_bytes(isn).is_none();
-                if flow.state.isn.is_some_and(other) || !flow.may_continue_with(segment) {
-                    return Err(NotServed::Absent);
-                }
-            }
-        }
-        if let ServedFlow::Established(flow) = served {
-            flow.entry = Some(entry);
-            let begins = flow.from_caller(segment, now);
-            if segment.flags.aborts {
-                self.end(context, &segment.flow, now);
-            } else if segment.flags.closes && self.waiting.add_packet(packet) {
-                // The caller may still wait for the answer to its queued request.
-                return Ok(());
-            } else if segment.flags.closes {
-                self.cancel_request(&segment.flow, now);
-            } else if begins && self.enqueue(context, packet, now) {
-                self.start_queued(context, now);
-                return Ok(());
-            } else if segment.len > 0 && self.waiting.add_packet(packet) {
-                return Ok(());
-            }
-        }
-        context.act(Action::Backend(packet.clone()));
-        Ok(())
-    }
-
-    /// Counts an opening packet that is about to be passed to the backend server; returns
-    /// false if the warm-up limit does not allow it, which drops the packet: the caller's next
-    /// copy follows.
-    fn pass_opening(&mut self, context: &mut AgentContext, flow: &FlowKey, now: Moment) -> bool {
-        if !self.warm_up.wait(now).is_zero() {
-            context.record(Event::of(Decision::Dropped).reason(Reason::Cold).flow(*flow));
-            return false;
-        }
-        self.warm_up.record_opening(now);
-        true
-    }
-
     /// Returns whether the backend server has the flow of a caller's packet with
     /// acknowledgement number `ack`.
     ///
@@ -331,67 +255,6 @@
         }
     }
 
-    /// Cancels the request of a flow that gets no answer.
-    fn cancel_request(&mut self, flow: &FlowKey, now: Moment) {
-        let Some(ServedFlow::Established(f)) = self.served.get_mut(flow) else { return };
-        match f.state.request.take() {
-            Some(Request::Started(_)) => self.waiting.abandon(now),
-            Some(Request::Waiting) => self.waiting.cancel(flow),
-            None => {}
-        }
-    }
-
-    /// Queues a request until a slot is free; returns false if it can't be queued.
-    fn enqueue(&mut self, context: &AgentContext, packet: &Packet, now: Moment) -> bool {
-        let flow = packet.segment.flow;
-        let Some(route) = context.view.routes.route(flow.service) else {
-            self.begin_request(&flow, now);
-            return false;
-        };
-        // Only the first request of a flow can have waited for its opening.
-        let waited = match self.served.get_mut(&flow) {
-            Some(ServedFlow::Established(f)) => std::mem::take(&mut f.waited) + TRANSIT_TIME,
-            _ => TRANSIT_TIME,
-        };
-        let request = QueuedRequest {
-            packets: vec![packet.clone()],
-            since: now,
-            priority: route.priority,
-            target: now + route.target_latency.saturating_sub(waited),
-            deadline: now + route.timeout.saturating_sub(waited),
-            work: self.waiting.expected_work(&flow.service),
-        };
-        let queued = self.waiting.push(flow, request);
-        if !queued {
-            self.begin_request(&flow, now);
-        }
-        queued
-    }
-
-    /// Records that a request is passed to the backend server.
-    fn begin_request(&mut self, flow: &FlowKey, now: Moment) {
-        if let Some(ServedFlow::Established(flow)) = self.served.get_mut(flow) {
-            flow.start(now);
-            self.waiting.begin(now);
-        }
-    }
-
-    /// Passes queued requests to the backend server while it has free slots.
-    fn start_queued(&mut self, context: &mut AgentContext, now: Moment) {
-        while let Some((flow, request)) = self.waiting.next(self.health.slots(), now) {
-            self.begin_request(&flow, now);
-            let held = now.since(request.since);
-            context.act(Action::Measured(Phase::Held, held));
-            if now + request.work > request.target {
-                let event = Event::of(Decision::Late).reason(Reason::Deadline).flow(flow);
-                context.record(event.value(held.as_micros() as u64));
-            }
-            for packet in request.packets {
-                context.act(Action::Backend(packet));
-            }
-        }
-    }
-
     /// Passes a packet of an unknown flow to the backend server, which returns
     /// it if it does not have the flow.
     pub fn probe(
@@ -416,103 +279,6 @@
         self.probes.take(flow)
     }
 
-    /// Handles a packet that the backend server sent to a caller.
-    ///
-    /// Returns the flow's state if its homes and its entry must be told that
-    /// this agent owns it.
-    pub fn handle_reply(
-        &mut self,
-        context: &mut AgentContext,
-        segment: &Segment,
-        now: Moment,
-    ) -> Option<ServedFlow> {
-        self.warm_up.record_packet(now);
-        if segment.flags.opens {
-            self.health.heard(now);
-        } else {
-            // Only the run that accepted the flow's opening packet has the flow.
-            self.health.heard_run(context, now);
-        }
-        self.probes.take(&segment.flow);
-        let flow = segment.flow;
-        if segment.flags.aborts {
-            self.end(context, &flow, now);
-            return None;
-        }
-        let before = self.served.get(&flow).copied();
-        let answers = segment.flags.opens;
-        if answers {
-            self.measure_opening(context, &flow, now);
-        }
-        let after = match before {
-            Some(ServedFlow::Opening(f)) if answers => f.answer(segment.seq, now).into(),
-            Some(ServedFlow::Answered(f)) if !answers => {
-                self.apply_reply(context, f.establish(now), segment, now)
-            }
-            Some(ServedFlow::Established(f)) if !answers => {
-                self.apply_reply(context, f, segment, now)
-            }
-            None if answers => {
-                Flow::<Opening>::open(None, None, now).answer(segment.seq, now).into()
-            }
-            None | Some(ServedFlow::Opening(_)) => {
-                let entry = before.and_then(|s| s.entry());
-                self.apply_reply(
-                    context,
-                    Flow::<Established>::learn(entry, None, now),
-                    segment,
-                    now,
-                )
-            }
-            Some(served) => served,
-        };
-        if !self.served.put(flow, after) {
-            context.tally.add(Reason::FlowsFull);
-        }
-        self.start_queued(context, now);
-        let changed = match &before {
-            None | Some(ServedFlow::Opening(_)) => true,
-            Some(ServedFlow::Answered(_)) => matches!(after, ServedFlow::Answered(_)),
-            Some(ServedFlow::Established(_)) => false,
-        };
-        changed.then_some(after)
-    }
-
-    /// Measures the time until the backend server answered an opening packet, also if its
-    /// answer is overdue.
-    fn measure_opening(&mut self, context: &mut AgentContext, flow: &FlowKey, now: Moment) {
-        let opening = match self.served.get(flow) {
-            Some(ServedFlow::Opening(f)) => Some(f.state.offered),
-            _ => None,
-        };
-        if let Some(offered) = self.overdue.take(flow).or(opening) {
-            context.act(Action::Measured(Phase::Opening, now.since(offered)));
-        }
-    }
-
-    /// Applies a packet of the backend server to its flow, and ends the request
-    /// that it begins to answer.
-    fn apply_reply(
-        &mut self,
-        context: &mut AgentContext,
-        mut flow: Flow<Established>,
-        segment: &Segment,
-        now: Moment,
-    ) -> ServedFlow {
-        match flow.from_backend(segment, now) {
-            // A close without an answer says nothing about the backend server's speed.
-            Some(_) if segment.len == 0 => self.waiting.abandon(now),
-            Some(started) => {
-                let took = now.since(started);
-                let route = segment.flow.service;
-                self.waiting.end(route, took, self.health.slots(), now);
-                context.act(Action::Measured(Phase::Service, took));
-            }
-            None => {}
-        }
-        flow.into()
-    }
-
     /// Removes a flow whose opening packet the backend server returned. Returns
     /// the agent that placed the flow, which is `Some(None)` for this one, or
     /// `None` if the flow was not opening.
