--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -18,6 +18,10 @@
 /// again; the platform's documentation says about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which an entry of an earlier run is held back. The present run writes again
+/// within a heartbeat; if it does not, it is the one whose clock was set back.
+const EARLIER_HOLD: Duration = Duration::from_secs(5);
+
 /// Maximum number of removed entries whose revision is remembered.
 const MAX_REMOVED: usize = 4_096;
 
@@ -82,6 +86,8 @@
     // Entries that the source has lost, with the time until which they may come back.
     // Where a name is present as well, the lost entry is the later one.
     lapsed: BTreeMap<Name, (Entry, Moment)>,
+    // Entries of earlier runs than the present ones, with the time since which they are held.
+    earlier: BTreeMap<Name, (Entry, Moment)>,
     // Revisions of removals. Updates from peers and from the source may arrive out
     // of order, so an older removal or entry must not undo a later one.
     removed: BTreeMap<Name, Revision>,
@@ -172,15 +178,23 @@
         }
     }
 
-    /// Drops lapsed entries that did not come back in time; returns whether there
-    /// were any.
+    /// Drops lapsed entries that did not come back in time, and accepts those of earlier
+    /// runs that no later write has replaced; returns whether there were any.
     pub fn expire(&mut self, now: Moment) -> bool {
         if self.failing {
             return false;
         }
         let before = self.lapsed.len();
         self.lapsed.retain(|_, (_, until)| *until > now);
-        self.lapsed.len() < before
+        let lapsed = self.lapsed.len() < before;
+        let held = |_: &Name, (_, since): &mut (Entry, Moment)| now.since(*since) >= EARLIER_HOLD;
+        let outlasting: Vec<_> = self.earlier.extract_if(.., held).collect();
+        let accepted = !outlasting.is_empty();
+        for (name, (entry, _)) in outlasting {
+            self.present.remove(&name);
+            self.set(entry, now);
+        }
+        lapsed || accepted
     }
 
     /// Returns whether a missing entry proves that its backend server is gone,
@@ -244,8 +258,14 @@
         let run = entry.member.run();
         if present.is_some_and(|known| run < known.member.run()) {
             self.revision = self.revision.max(entry.revision);
+            let since = match self.earlier.get(&name) {
+                Some((held, since)) if held.member.run() == run => *since,
+                _ => now,
+            };
+            self.earlier.insert(name, (entry, since));
             return false;
         }
+        self.earlier.remove(&name);
         let advances = present.is_some_and(|known| run > known.member.run());
         if last.is_some_and(|last| entry.revision < last) && !advances {
             return false;
@@ -283,6 +303,7 @@
             return false;
         }
         let Some(entry) = self.present.remove(name) else { return false };
+        self.earlier.remove(name);
         self.revision = self.revision.max(revision);
         if self.removed.len() >= MAX_REMOVED {
             self.forget_oldest();
--- a/lib/tests/registry.rs
+++ b/lib/tests/registry.rs
@@ -107,6 +107,34 @@
     assert!(names(&registry).is_empty());
 }
 
+// After the clock of a VM was set back, a backend server that starts again under its name
+// seems to be an earlier run; ignored for good, it would get flows after it has left.
+#[test]
+fn an_entry_of_an_earlier_start_counts_if_no_later_write_replaces_it() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 9, 5))], NOW);
+    let mut leaving = entry("a", "s", 4, 7);
+    leaving.member.standing = MemberState::Leaving;
+    assert!(!registry.change(vec![Change::Set(leaving)], NOW));
+    assert!(!registry.expire(NOW + Duration::from_millis(4_999)));
+    assert!(registry.expire(NOW + Duration::from_secs(5)));
+    let roster = registry.roster(&Published::default());
+    assert_eq!(roster.members()[0].standing, MemberState::Leaving);
+}
+
+// The next heartbeat of the present run ends the time for which a late write is held.
+#[test]
+fn a_late_write_that_the_present_run_replaces_never_counts() {
+    let mut registry = Registry::default();
+    registry.answered(NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 9, 5))], NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 4, 7))], NOW);
+    registry.change(vec![Change::Set(entry("a", "s", 9, 8))], NOW);
+    assert!(!registry.expire(NOW + Duration::from_secs(60)));
+    assert_eq!(registry.roster(&Published::default()).members()[0].born, 9);
+}
+
 // A write of an earlier run that was done late took the place of the present run's entry.
 #[test]
 fn an_entry_of_an_earlier_run_that_is_written_later_replaces_nothing() {
