Give what an agent asks others about runs a name of its own

Cause: two types of the packet front end were called RunEvidence: the evidence about runs of a backend server, and the exchange with other agents about processes and ended runs.

Change: the latter is RunExchange. Three comments say what they meant plainly.

--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -205,7 +205,7 @@
         }
         state.confirmation.vouched(by, sent, age);
         match (state.confirmation.is_current(now), lapsed) {
-            // Entries may have lapsed during an outage that nobody could tell this process.
+            // Entries may have lapsed during an outage that no process could report to this one.
             (true, true) => state.registry.answered(now),
             (true, false) => state.registry.vouched(),
             (false, _) => {}
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -18,7 +18,7 @@
 use super::message::KnownVersions;
 use super::message::Message;
 use super::placer::Placer;
-use super::run_evidence::RunEvidence;
+use super::run_exchange::RunExchange;
 use super::unsure_answers::Question;
 use super::version_queries::VersionQueries;
 use crate::connection::flow::FlowKey;
@@ -47,7 +47,7 @@
     backend: LocalBackend,
     home: Home,
     placer: Placer,
-    evidence: RunEvidence,
+    exchange: RunExchange,
     settled: bool,
     detector: PauseDetector,
     pauses: u64,
@@ -69,7 +69,7 @@
             context: AgentContext::open(me, now),
             home: Home::default(),
             placer: Placer::open(run.0),
-            evidence: RunEvidence::default(),
+            exchange: RunExchange::default(),
             settled: false,
             detector: PauseDetector::open(now),
             pauses: 0,
@@ -85,12 +85,12 @@
     /// Tells what the clock of the VM showed at the very start of this process, at the
     /// steady time `at`. Without that no flow table is proved complete by it.
     pub fn track_start(&mut self, started: WallTime, at: Moment) {
-        self.evidence.first_run = Some(FirstRun::open(self.context.me.run, started, at));
+        self.exchange.first_run = Some(FirstRun::open(self.context.me.run, started, at));
     }
 
     /// Tells what the clock of the VM shows, before each [`Self::tick`].
     pub fn update_clock(&mut self, wall: WallTime, now: Moment) {
-        self.evidence.update_clock(wall, now);
+        self.exchange.update_clock(wall, now);
     }
 
     /// Applies the routes and the roster that the process knows now.
@@ -258,7 +258,7 @@
             self.backend.expire(&mut self.context, now);
             self.home.expire(now);
             self.placer.neighbours.expire(now);
-            self.evidence.known.expire(now);
+            self.exchange.known.expire(now);
             self.placer.cold.expire(now);
             self.review_absences(now);
         }
@@ -304,9 +304,9 @@
     /// Follows what is known about runs. Once the flow table is complete, or the agents that
     /// started with this one are known, what waits for that is resolved.
     fn follow_runs(&mut self, now: Moment) {
-        let completed = self.evidence.follow(&mut self.context, &mut self.backend, now);
+        let completed = self.exchange.follow(&mut self.context, &mut self.backend, now);
         if completed {
-            let questions: Vec<_> = self.evidence.unsure.take(now).collect();
+            let questions: Vec<_> = self.exchange.unsure.take(now).collect();
             for Question { home, flow, ack } in questions {
                 self.handle_ask(home, flow, ack, now);
             }
--- a/lib/src/front/packet/agent/flows.rs
+++ b/lib/src/front/packet/agent/flows.rs
@@ -145,7 +145,7 @@
             }
             Err(NotServed::Absent) => self.context.send(home, Message::NotHere { flow }),
             Err(NotServed::Unknown) => {
-                self.evidence.unsure.add(Question { home, flow, ack }, now);
+                self.exchange.unsure.add(Question { home, flow, ack }, now);
                 self.context.send(home, Message::Unsure { flow });
             }
         }
@@ -174,7 +174,7 @@
             }
             Err(NotServed::Unknown) => {
                 let ack = packet.segment.flags.acks.then_some(packet.segment.ack);
-                self.evidence.unsure.add(Question { home, flow, ack }, now);
+                self.exchange.unsure.add(Question { home, flow, ack }, now);
                 self.context.send(home, Message::Unsure { flow });
             }
         }
--- a/lib/src/front/packet/agent/messages.rs
+++ b/lib/src/front/packet/agent/messages.rs
@@ -54,7 +54,7 @@
                 }
             }
             Message::Heartbeat { run, service, load, accepting } => {
-                self.evidence.known.heard(from, run, now);
+                self.exchange.known.heard(from, run, now);
                 let neighbour = Neighbour { run, service, load, accepting, heard: now, charged: 0 };
                 self.placer.neighbours.heard(from, neighbour);
                 self.placer.cold.report(from, load.openings, now);
@@ -70,15 +70,15 @@
             }
             Message::RunQuery { run, token, age_ms } => {
                 let started = now - Duration::from_millis(age_ms.into());
-                let earlier = self.evidence.known.heard(from, run, now)
+                let earlier = self.exchange.known.heard(from, run, now)
                     || self.home.knew_owner(from, started)
                     || self.backend.had_placer(from, started);
-                if let Some(wall) = self.evidence.wall(now) {
+                if let Some(wall) = self.exchange.wall(now) {
                     self.context.send(from, Message::RunReply { token, wall, earlier });
                 }
             }
             Message::RunReply { token, wall, earlier } => {
-                if let Some(first_run) = &mut self.evidence.first_run {
+                if let Some(first_run) = &mut self.exchange.first_run {
                     first_run.replied(from, token, wall, earlier, now);
                 }
                 self.follow_runs(now);
@@ -93,7 +93,7 @@
             }
             Message::Owned { flows } => {
                 if flows.iter().any(|(f, _)| self.backend.served().get(f).is_none()) {
-                    self.evidence.refute();
+                    self.exchange.refute();
                 }
                 self.backend.recover(&mut self.context, &flows, now);
             }
--- a/lib/src/front/packet/mod.rs
+++ b/lib/src/front/packet/mod.rs
@@ -20,7 +20,7 @@
 pub mod message;
 pub mod placer;
 pub mod probes;
-pub mod run_evidence;
+pub mod run_exchange;
 pub mod shortage;
 pub mod unsure_answers;
 pub mod version_queries;
--- a/lib/src/front/packet/run_evidence.rs
+++ b/lib/src/front/packet/run_exchange.rs
@@ -32,7 +32,7 @@
 
 /// Evidence about this process, and the memory of other processes' runs.
 #[derive(Debug, Default)]
-pub struct RunEvidence {
+pub struct RunExchange {
     /// Evidence that this process is its agent's first one beside its backend server's run;
     /// none without a clock.
     pub first_run: Option<FirstRun>,
@@ -50,7 +50,7 @@
     told: (u32, Moment),
 }
 
-impl RunEvidence {
+impl RunExchange {
     /// Follows the clock of the VM.
     pub fn update_clock(&mut self, wall: WallTime, now: Moment) {
         self.ahead = Some(wall.ahead_of(now));
--- a/lib/tests/after_a_loss.rs
+++ b/lib/tests/after_a_loss.rs
@@ -245,7 +245,7 @@
     }
 }
 
-// After a kill of all processes nobody remembers an earlier one, so only the start of the
+// After a kill of all processes no process remembers an earlier one, so only the start of the
 // run and the other clocks tell.
 #[test]
 fn processes_that_were_all_killed_beside_live_backend_servers_prove_nothing() {
--- a/lib/tests/observers.rs
+++ b/lib/tests/observers.rs
@@ -167,7 +167,7 @@
     Message::VersionReply { number, age_ms: Some(20) }
 }
 
-/// Guards against confirmations by answers that nobody asked for: copies, answers to an
+/// Guards against confirmations by answers that were not asked for: copies, answers to an
 /// earlier query or run, or of another process.
 #[test]
 fn an_answer_without_its_query_counts_for_nothing() {
