--- a/lib/src/connection/placement.rs
+++ b/lib/src/connection/placement.rs
@@ -21,6 +21,10 @@
 /// takes less than 5 ms, a VM may be paused for some tens of milliseconds.
 pub const OFFER_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Time after the first opening packet at which the caller sends each copy.
+pub const RETRANSMIT_DELAYS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
+
 /// An offer of an opening packet to an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -95,6 +99,13 @@
         self.offers.retain(|o| o.link != link);
     }
 
+    /// Returns whether the flow was certainly offered by this home only. From the time of the
+    /// caller's next copy on, another home may have been sent that.
+    pub fn is_sole(&self, now: Moment) -> bool {
+        let next = RETRANSMIT_DELAYS.get(usize::from(self.packet.segment.attempt) + 1);
+        self.sole && next.is_none_or(|delay| now < self.since + *delay)
+    }
+
     /// Returns the number of offers that may still be answered.
     pub fn unanswered(&self) -> usize {
         self.offers.iter().filter(|o| o.declined.is_none()).count()
--- a/lib/src/front/packet/local_backend.rs
+++ b/lib/src/front/packet/local_backend.rs
@@ -21,6 +21,7 @@
 use super::waiting::Waiting;
 use crate::connection::flow::FlowKey;
 use crate::connection::overdue::OverdueOpenings;
+use crate::connection::placement::RETRANSMIT_DELAYS;
 use crate::connection::segment::Packet;
 use crate::connection::segment::Segment;
 use crate::connection::served_flows::Established;
@@ -38,9 +39,6 @@
 
 /// Time for the backend server to answer an opening packet.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-/// Time after the first opening packet at which the caller sends each copy.
-const RETRANSMIT_DELAYS: [Duration; 3] =
-    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
 /// Maximum number of flows listed in one datagram.
 const FLOWS_PER_DATAGRAM: usize = 30;
 
--- a/lib/src/front/packet/placer.rs
+++ b/lib/src/front/packet/placer.rs
@@ -190,7 +190,7 @@
             None => Some(placement),
         };
         if let Some(placement) = rejected {
-            reject(context, placement, shortage);
+            reject(context, placement, shortage, now);
         }
     }
 
@@ -296,11 +296,11 @@
 /// if every offer was declined: after one that was not answered it may be open
 /// already, with the answer late, and so after offers of another home. Without a roster it may be open anywhere, and without the
 /// evacuations this agent declined only because it has just started.
-fn reject(context: &mut AgentContext, placement: Placement, shortage: Shortage) {
+fn reject(context: &mut AgentContext, placement: Placement, shortage: Shortage, now: Moment) {
     let flow = placement.packet.segment.flow;
     let unanswered = placement.unanswered();
     let known = context.view.has_roster() && context.view.evacuations.is_known();
-    if unanswered > 0 || !placement.sole || !known {
+    if unanswered > 0 || !placement.is_sole(now) || !known {
         let event = Event::of(Decision::Dropped).reason(Reason::NoBackend).flow(flow);
         context.record(event.value(unanswered as u64));
         return;
