Log whom a search concerned, and the first routes that a process put in force

An owner that denies a flow wrote nothing.

`searched`, `reset reason=not_here` of a home and `dropped reason=owner_unknown` now have `services`, `covered`, `listed` and `first_routes`; `version_in_force` has `first`. `denied` tells that an agent has another flow between the same addresses. All are bounded as before, 20 lines of a decision a second.

--- a/daemon/src/process/packet/decision_log.rs
+++ b/daemon/src/process/packet/decision_log.rs
@@ -3,11 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use lagoonhollow_lib::connection::search_range::SearchRange;
 use lagoonhollow_lib::connection::unresolved::SearchOutcome;
 use lagoonhollow_lib::front::packet::event::Decision;
 use lagoonhollow_lib::front::packet::event::Event;
 use lagoonhollow_lib::front::packet::message::KnownVersions;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::value::name::Name;
 
 /// Maximum number of lines of each decision in a [`WINDOW`].
 const LINES_PER_WINDOW: u32 = 20;
@@ -43,9 +45,13 @@
         let peer = event.peer.map_or_else(absent, |p| p.ip().to_string());
         let drawn = event.service.as_ref().map_or_else(absent, |s| s.to_string());
         let KnownVersions { routes, roster, evacuations } = known;
-        if let Some(SearchOutcome { silent, unsure, unasked }) = event.outcome {
+        if let Some(range) = &event.range {
+            let SearchRange { services, covered, listed, first_routes } = range.clone();
+            let services: Vec<_> = services.iter().map(Name::as_str).collect();
+            let services = services.join(",");
+            let SearchOutcome { silent, unsure, unasked } = event.outcome.unwrap_or_default();
             spdlog::log!(level(event.decision), "{}", event.decision, kv: {
-                caller, service, reason, peer, value = event.value, silent, unsure, unasked, routes, roster:, evacuations:
+                caller, service, reason, peer, value = event.value, silent, unsure, unasked, services, covered, listed, first_routes, routes, roster:, evacuations:
             });
             return;
         }
--- a/daemon/src/process/packet/shared.rs
+++ b/daemon/src/process/packet/shared.rs
@@ -131,8 +131,11 @@
     pub fn apply_routes(&self, published: Published, source: &str) {
         let version = published.version;
         if self.knowledge.apply_routes(published) {
-            let routes = self.knowledge.view().routes.count();
-            spdlog::info!("version_in_force", kv: { version, routes, source });
+            let (in_force, first) = {
+                let routes = self.knowledge.view().routes;
+                (routes.count(), routes.first_version())
+            };
+            spdlog::info!("version_in_force", kv: { version, first, routes = in_force, source });
             self.publish();
         }
         self.metrics.routes.set(self.knowledge.known().routes as i64);
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -23,6 +23,7 @@
 pub mod redirect;
 pub mod router;
 pub mod search;
+pub mod search_range;
 pub mod searches;
 pub mod segment;
 pub mod served_flows;
--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -6,6 +6,7 @@
 
 use derive_more::From;
 
+use super::search_range::SearchRange;
 use super::segment::Packet;
 use super::unresolved::Unresolved;
 use crate::value::moment::Moment;
@@ -49,6 +50,19 @@
         let member = self.roster.on_vm(link.ip());
         member.is_some_and(|m| self.services.contains(&m.service)) || self.others.contains(link)
     }
+
+    /// Returns what the log shows of the scope; `first_routes` is the first version of the
+    /// routes that this process put in force.
+    pub fn range(&self, first_routes: u64) -> SearchRange {
+        let members = self.roster.members();
+        let covered = members.iter().filter(|m| self.covers(&m.address)).count();
+        SearchRange {
+            services: self.services.iter().cloned().collect(),
+            covered: (covered + self.others.len()) as u32,
+            listed: members.len() as u32,
+            first_routes,
+        }
+    }
 }
 
 /// A search in progress, in state `S`.
--- a/lib/src/front/packet/agent/flows.rs
+++ b/lib/src/front/packet/agent/flows.rs
@@ -148,7 +148,7 @@
                     self.context.send(home, claim);
                 }
             }
-            Err(NotServed::Absent) => self.context.send(home, Message::NotHere { flow }),
+            Err(NotServed::Absent) => self.deny(home, flow),
             Err(NotServed::Unknown) => {
                 self.exchange.unsure.add(Question { home, flow, ack }, now);
                 self.context.send(home, Message::Unsure { flow });
@@ -156,6 +156,15 @@
         }
     }
 
+    /// Answers a home that this agent does not own a flow.
+    fn deny(&mut self, home: SocketAddr, flow: FlowKey) {
+        if let Some(other) = self.backend.served().get(&flow) {
+            let event = Event::of(Decision::Denied).reason(Reason::NotHere).flow(flow).peer(home);
+            self.context.record(event.value(other.isn().unwrap_or_default().into()));
+        }
+        self.context.send(home, Message::NotHere { flow });
+    }
+
     /// Answers a home that searches for a flow's owner with its packet.
     pub(super) fn handle_search(
         &mut self,
@@ -173,7 +182,7 @@
                     self.context.send(home, claim);
                 }
             }
-            Err(NotServed::Absent) => self.context.send(home, Message::NotHere { flow }),
+            Err(NotServed::Absent) => self.deny(home, flow),
             Err(NotServed::Unknown) if probe => {
                 self.backend.probe(&mut self.context, &packet, entry, Some(home), now);
             }
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use crate::connection::flow::FlowKey;
+use crate::connection::search_range::SearchRange;
 use crate::connection::unresolved::SearchOutcome;
 use crate::value::name::Name;
 use crate::value::reason::Reason;
@@ -32,6 +33,9 @@
     Probed,
     /// The owner of a flow was found by a search.
     FoundOwner,
+    /// This agent answered that it does not own a flow, though its table has one between the
+    /// same addresses.
+    Denied,
     /// A packet was dropped.
     Dropped,
     /// A request got its slot too late to be answered in time.
@@ -78,13 +82,16 @@
     pub value: u64,
     /// For a search that found no owner, how the agents stand that have not ruled it out.
     pub outcome: Option<SearchOutcome>,
+    /// For a search and what was concluded from it, whom it concerned.
+    pub range: Option<SearchRange>,
 }
 
 impl Event {
     /// Creates an event about a decision.
     pub fn of(decision: Decision) -> Self {
         let (flow, peer) = (None, None);
-        Self { decision, reason: None, flow, service: None, peer, value: 0, outcome: None }
+        let (outcome, range) = (None, None);
+        Self { decision, reason: None, flow, service: None, peer, value: 0, outcome, range }
     }
 
     /// Adds the reason.
@@ -107,6 +114,11 @@
         Self { peer: Some(peer), ..self }
     }
 
+    /// Adds whom a search concerned.
+    pub fn range(self, range: SearchRange) -> Self {
+        Self { range: Some(range), ..self }
+    }
+
     /// Adds the number.
     pub fn value(self, value: u64) -> Self {
         Self { value, ..self }
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -324,7 +324,8 @@
         search.state.unsure.extend(search.state.waiting.take(&context.me.link));
         let (entry, packet) = (search.entry, &search.packet);
         let flow = packet.segment.flow;
-        let event = Event::of(Decision::Searched).flow(flow).peer(entry);
+        let range = search.scope.range(context.view.routes.first_version());
+        let event = Event::of(Decision::Searched).flow(flow).peer(entry).range(range);
         context.record(event.value(search.state.waiting.len() as u64));
         let ack = packet.segment.flags.acks.then_some(packet.segment.ack);
         for link in &search.state.waiting {
@@ -399,7 +400,8 @@
         let open = unresolved.silent.len() + unresolved.unsure.len();
         let outcome = Some(unresolved.outcome(&candidates));
         let peer = unresolved.silent.first().or(unresolved.unsure.first()).copied();
-        context.record(Event { peer, outcome, ..event.value(open as u64) });
+        let range = Some(unresolved.scope.range(context.view.routes.first_version()));
+        context.record(Event { peer, outcome, range, ..event.value(open as u64) });
         self.searches.unresolve(flow, unresolved);
     }
 }
@@ -486,7 +488,9 @@
         return false;
     }
     if !segment.flags.aborts {
-        context.record(Event::of(Decision::Reset).reason(Reason::NotHere).flow(segment.flow));
+        let range = unresolved.scope.range(context.view.routes.first_version());
+        let event = Event::of(Decision::Reset).reason(Reason::NotHere).flow(segment.flow);
+        context.record(event.range(range));
         context.act(Action::Reset { flow: segment.flow, seq: segment.ack });
     }
     true
--- a/lib/src/version/routes.rs
+++ b/lib/src/version/routes.rs
@@ -56,6 +56,8 @@
     by_address: HashMap<SocketAddr, Arc<Route>>,
     // Routes of the previous version whose addresses this one lacks.
     dropped: HashMap<SocketAddr, Arc<Route>>,
+    // The first version that this process put in force.
+    first: u64,
 }
 
 /// Routes in state `S`; a version that is in force has been compared with the
@@ -84,7 +86,8 @@
             self.published.routes.iter().map(|r| (r.address, Arc::new(r.clone()))).collect();
         let gone = |address: &SocketAddr| !by_address.contains_key(address);
         let dropped = old.iter().filter(|(a, _)| gone(a)).map(|(a, r)| (*a, r.clone())).collect();
-        Routes { published: self.published, state: InForce { by_address, dropped } }
+        let first = if before.version() == 0 { self.version() } else { before.state.first };
+        Routes { published: self.published, state: InForce { by_address, dropped, first } }
     }
 }
 
@@ -112,6 +115,12 @@
         self.state.dropped.contains_key(&address)
     }
 
+    /// Returns the first version that this process put in force. Of earlier ones it knows only
+    /// what other processes have told it.
+    pub fn first_version(&self) -> u64 {
+        self.state.first
+    }
+
     /// Returns the number of routes.
     pub fn count(&self) -> usize {
         self.published.routes.len()
