Give each process of the simulated fleet the versions that it has read, and no others

The stand-in put each version of the routes in force once and handed it to all processes, with the former services that only some of them had seen.

--- a/testutils/src/packets/node.rs
+++ b/testutils/src/packets/node.rs
@@ -1,6 +1,7 @@
 //! VMs and processes of the fleet in virtual time.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lagoonhollow_lib::connection::segment::Packet;
@@ -13,6 +14,9 @@
 use lagoonhollow_lib::process::view::View;
 use lagoonhollow_lib::value::moment::Moment;
 use lagoonhollow_lib::value::wall_time::WallTime;
+use lagoonhollow_lib::version::routes::InForce;
+use lagoonhollow_lib::version::routes::Published;
+use lagoonhollow_lib::version::routes::Routes;
 use lagoonhollow_lib::version::run::Run;
 
 /// A process of the load balancer.
@@ -85,6 +89,16 @@
         }
     }
 
+    /// Returns the routes in force once the process has read what the store holds. As in the
+    /// daemon, what a process knows of earlier versions is what it has read of them itself.
+    pub fn follow(&self, published: &Published) -> Arc<Routes<InForce>> {
+        let known = &self.view.routes;
+        match published.version > known.version() {
+            true => Arc::new(Routes::open(published.clone()).enforce(known)),
+            false => known.clone(),
+        }
+    }
+
     /// Passes a new view to the process.
     pub fn update_view(&mut self, view: View, now: Moment) {
         self.view = view.clone();
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -133,6 +133,9 @@
     timers: HashMap<FlowKey, u64>,
     registered: BTreeMap<Name, registry::Entry>,
     revision: Revision,
+    // What the store holds.
+    published: Published,
+    // The same after all versions before, which no single process may have read.
     routes: Arc<Routes<InForce>>,
     evacuations: Arc<Evacuations>,
     leaving: HashMap<Name, Moment>,
@@ -158,7 +161,7 @@
             routes: routes.collect(),
             services: services.iter().map(|(name, _)| service(name)).collect(),
         };
-        let routes = Arc::new(Routes::open(published).enforce(&Routes::default()));
+        let routes = Arc::new(Routes::open(published.clone()).enforce(&Routes::default()));
         let mut world = Self {
             now: Moment::from_millis(1_000),
             entries: Vec::new(),
@@ -178,6 +181,7 @@
             timers: HashMap::new(),
             registered: BTreeMap::new(),
             revision: Revision { epoch: 0, number: 1 },
+            published,
             routes,
             evacuations: Arc::new(Evacuations::open(Revision { epoch: 0, number: 1 }, [])),
             leaving: HashMap::new(),
@@ -378,7 +382,7 @@
         }
         let entries = self.registered.values().cloned().collect();
         let listing = Listing { revision: self.revision, entries };
-        let (routes, up) = (self.routes.clone(), self.store_up);
+        let (routes, up) = (self.published.clone(), self.store_up);
         let evacuations = self.evacuations.clone();
         let Some(node) = self.node(link).filter(|n| n.process.is_some()) else { return };
         let read_delay = node.read_delay;
@@ -392,7 +396,7 @@
         }
         node.registry.expire(now);
         let readable = node.store_lost.is_none();
-        let routes = if readable { routes } else { node.view.routes.clone() };
+        let routes = if readable { node.follow(&routes) } else { node.view.routes.clone() };
         let read_at = if readable { now } else { node.view.read_at };
         let fresh = readable && node.registry.confirms_absence(now);
         let roster = node.registry.roster(routes.published()).into();
--- a/testutils/src/packets/world/operations.rs
+++ b/testutils/src/packets/world/operations.rs
@@ -18,6 +18,7 @@
 use lagoonhollow_lib::version::revision::FIRST_EPOCH;
 use lagoonhollow_lib::version::revision::Revision;
 use lagoonhollow_lib::version::route::Share;
+use lagoonhollow_lib::version::routes::Published;
 use lagoonhollow_lib::version::routes::Routes;
 use lagoonhollow_lib::version::service::WarmUp;
 
@@ -63,10 +64,9 @@
     /// Publishes a warm-up limit of all services, and starts all agents with it.
     pub fn limit_warm_up(&mut self, warm_up: WarmUp, allowance: Allowance) {
         self.warm_up = Some((warm_up, allowance));
-        let mut published = self.routes.published().clone();
-        published.version += 1;
-        published.services.iter_mut().for_each(|s| s.warm_up = Some(warm_up));
-        self.routes = Arc::new(Routes::open(published).enforce(&self.routes));
+        self.publish(|published| {
+            published.services.iter_mut().for_each(|s| s.warm_up = Some(warm_up));
+        });
         for i in 0..self.agents.len() {
             self.backends[i].member.warming = warm_up.period;
             self.register(i);
@@ -206,10 +206,14 @@
     /// Publishes a version of the routes that changes the shares of the first service's
     /// address.
     pub fn reroute(&mut self, shares: Vec<Share>) {
-        let mut published = self.routes.published().clone();
-        published.version += 1;
-        published.routes[0].shares = shares;
-        self.routes = Arc::new(Routes::open(published).enforce(&self.routes));
+        self.publish(|published| published.routes[0].shares = shares);
+    }
+
+    /// Publishes a version of the routes with a change.
+    pub fn publish(&mut self, change: impl FnOnce(&mut Published)) {
+        change(&mut self.published);
+        self.published.version += 1;
+        self.routes = Arc::new(Routes::open(self.published.clone()).enforce(&self.routes));
     }
 
     /// Orders the evacuation of exactly these failure domains.
