Take a flow for gone only if the agents of all backend servers have ruled it out

The flows had been opened at a service that their route no longer names. Their homes had started after that change: each process derives a route's former services from the versions that it has put in force itself, so theirs were unknown, and their searches asked 60 of 73 agents. The answers of these were taken for proof.

The class is a conclusion that depends on earlier versions which a process may not have seen: because it started later, with or without all others, because it read two versions at once, or because the list of former services is cut at four. Memory that processes pass on does not help if all of them restart just after the change.

The services of a route now only decide who is asked first. If none of these agents claims the flow, or some don't answer, all others are asked (Search<Widened>), and only a search that has covered every registered backend server can reset a flow or probe backend servers.

--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -2,69 +2,17 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use derive_more::From;
 
-use super::search_range::SearchRange;
+use super::scope::Scope;
 use super::segment::Packet;
 use super::unresolved::Unresolved;
 use crate::value::moment::Moment;
-use crate::value::name::Name;
-use crate::version::roster::Roster;
 
 /// Maximum number of packets held during one search.
 const MAX_HELD: usize = 4;
 
-/// Whom a search concerns: the agents of some services.
-#[derive(Clone, Debug)]
-pub struct Scope {
-    /// The services.
-    pub services: BTreeSet<Name>,
-    /// The roster that named the agents.
-    pub roster: Arc<Roster>,
-    /// Agents that were asked though the roster does not list them.
-    pub others: BTreeSet<SocketAddr>,
-    /// Agents that the roster lists and that were not asked.
-    pub left_out: BTreeSet<SocketAddr>,
-}
-
-impl Scope {
-    /// Opens a scope of all agents in `agents`; those in `left_out` are listed and not asked.
-    pub fn open(
-        services: BTreeSet<Name>,
-        roster: Arc<Roster>,
-        agents: &BTreeSet<SocketAddr>,
-        left_out: BTreeSet<SocketAddr>,
-    ) -> Self {
-        let mut scope = Self { services, roster, others: BTreeSet::new(), left_out };
-        scope.others = agents.iter().filter(|l| !scope.covers(l)).copied().collect();
-        scope
-    }
-
-    /// Returns whether the agent at `link` belongs to the scope.
-    pub fn covers(&self, link: &SocketAddr) -> bool {
-        if self.left_out.contains(link) {
-            return false;
-        }
-        let member = self.roster.on_vm(link.ip());
-        member.is_some_and(|m| self.services.contains(&m.service)) || self.others.contains(link)
-    }
-
-    /// Returns what the log shows of the scope; `first_routes` is the first version of the
-    /// routes that this process put in force.
-    pub fn range(&self, first_routes: u64) -> SearchRange {
-        let members = self.roster.members();
-        let covered = members.iter().filter(|m| self.covers(&m.address)).count();
-        SearchRange {
-            services: self.services.iter().cloned().collect(),
-            covered: (covered + self.others.len()) as u32,
-            listed: members.len() as u32,
-            first_routes,
-        }
-    }
-}
-
 /// A search in progress, in state `S`.
 #[derive(Debug)]
 pub struct Search<S> {
@@ -82,8 +30,10 @@
     pub state: S,
 }
 
-/// All agents that may own the flow are asked whether they do.
-#[derive(Debug, Default)]
+/// The agents that probably own the flow are asked whether they do: those of the services that
+/// its route is known to have had. That none of them does proves nothing, as the process may
+/// never have seen a version with another service.
+#[derive(Clone, Debug, Default)]
 pub struct Asking {
     /// Whether the question carried the packet, which an owner has delivered then.
     pub carried: bool,
@@ -93,6 +43,17 @@
     pub unsure: BTreeSet<SocketAddr>,
 }
 
+/// The agents of all registered backend servers have been asked.
+#[derive(Debug, Default)]
+pub struct Widened {
+    /// Whether the question carried the packet, which an owner has delivered then.
+    pub carried: bool,
+    /// Agents that have not answered.
+    pub waiting: BTreeSet<SocketAddr>,
+    /// Agents whose backend server may have the flow unknown to them.
+    pub unsure: BTreeSet<SocketAddr>,
+}
+
 /// All agents have answered, and the backend servers of those that were unsure are probed.
 /// While any agent is out of reach none is probed: the flow may be that agent's.
 #[derive(Debug)]
@@ -106,36 +67,46 @@
 pub enum SearchState {
     /// See [`Asking`].
     Asking(Search<Asking>),
+    /// See [`Widened`].
+    Widened(Search<Widened>),
     /// See [`Probing`].
     Probing(Search<Probing>),
 }
 
 impl<S> Search<S> {
+    /// Opens a search.
+    pub fn open(scope: Scope, entry: SocketAddr, packet: Packet, state: S, now: Moment) -> Self {
+        Self { scope, entry, packet, held: Vec::new(), since: now, state }
+    }
+
     /// Holds a packet until the search ends; drops it beyond the limit.
     fn hold(&mut self, packet: &Packet) {
         if self.held.len() < MAX_HELD {
             self.held.push(packet.clone());
         }
     }
+
+    fn transition<T>(self, scope: Scope, state: T, now: Moment) -> Search<T> {
+        let Self { entry, packet, held, .. } = self;
+        Search { scope, entry, packet, held, since: now, state }
+    }
 }
 
 impl Search<Asking> {
-    /// Opens a search.
-    pub fn open(
-        scope: Scope,
-        entry: SocketAddr,
-        packet: Packet,
-        state: Asking,
-        now: Moment,
-    ) -> Self {
-        Self { scope, entry, packet, held: Vec::new(), since: now, state }
+    /// Goes on to the agents in `rest`, which are all that were not asked. `scope` covers the
+    /// whole fleet.
+    pub fn widen(self, scope: Scope, rest: &BTreeSet<SocketAddr>, now: Moment) -> Search<Widened> {
+        let Asking { carried, mut waiting, unsure } = self.state.clone();
+        waiting.extend(rest);
+        self.transition(scope, Widened { carried, waiting, unsure }, now)
     }
+}
 
+impl Search<Widened> {
     /// Begins to probe the backend servers of the unsure agents.
     pub fn probe(self, now: Moment) -> Search<Probing> {
-        let Self { scope, entry, packet, held, state, .. } = self;
-        let state = Probing { waiting: state.unsure };
-        Search { scope, entry, packet, held, since: now, state }
+        let (scope, waiting) = (self.scope.clone(), self.state.unsure.clone());
+        self.transition(scope, Probing { waiting }, now)
     }
 }
 
@@ -144,29 +115,32 @@
     pub fn hold(&mut self, packet: &Packet) {
         match self {
             Self::Asking(search) => search.hold(packet),
+            Self::Widened(search) => search.hold(packet),
             Self::Probing(search) => search.hold(packet),
         }
     }
 
     /// Records that the agent at `link` does not own the flow.
     pub fn not_owner(&mut self, link: SocketAddr) {
-        match self {
-            Self::Asking(search) => {
-                search.state.waiting.remove(&link);
-                search.state.unsure.remove(&link);
-            }
-            Self::Probing(search) => {
-                search.state.waiting.remove(&link);
-            }
+        if let Some(unsure) = self.unsure_mut() {
+            unsure.remove(&link);
         }
+        self.waiting_mut().remove(&link);
     }
 
     /// Records that the agent at `link` can't tell whether its backend server has the flow.
     pub fn unsure(&mut self, link: SocketAddr) {
-        if let Self::Asking(search) = self
-            && search.state.waiting.remove(&link)
-        {
-            search.state.unsure.insert(link);
+        if self.unsure_mut().is_some() && self.waiting_mut().remove(&link) {
+            self.unsure_mut().map(|unsure| unsure.insert(link));
+        }
+    }
+
+    /// Returns whether agents have not answered.
+    pub fn waits(&self) -> bool {
+        match self {
+            Self::Asking(search) => !search.state.waiting.is_empty(),
+            Self::Widened(search) => !search.state.waiting.is_empty(),
+            Self::Probing(search) => !search.state.waiting.is_empty(),
         }
     }
 
@@ -174,6 +148,7 @@
     pub fn since(&self) -> Moment {
         match self {
             Self::Asking(search) => search.since,
+            Self::Widened(search) => search.since,
             Self::Probing(search) => search.since,
         }
     }
@@ -182,19 +157,20 @@
     pub fn entry(&self) -> SocketAddr {
         match self {
             Self::Asking(search) => search.entry,
+            Self::Widened(search) => search.entry,
             Self::Probing(search) => search.entry,
         }
     }
 
     /// Takes the packets that waited for the end of the search.
     pub fn into_held(self) -> Vec<Packet> {
-        match self {
-            Self::Asking(search) if !search.state.carried => {
-                [search.packet].into_iter().chain(search.held).collect()
-            }
-            Self::Asking(search) => search.held,
-            Self::Probing(search) => search.held,
-        }
+        let (carried, packet, held) = match self {
+            Self::Asking(search) => (search.state.carried, search.packet, search.held),
+            Self::Widened(search) => (search.state.carried, search.packet, search.held),
+            Self::Probing(search) => (true, search.packet, search.held),
+        };
+        let first = (!carried).then_some(packet);
+        first.into_iter().chain(held).collect()
     }
 
     /// Ends the search without an owner.
@@ -203,6 +179,9 @@
             Self::Asking(Search { scope, entry, packet, held, state, .. }) => {
                 (scope, entry, packet, held, state.waiting, state.unsure)
             }
+            Self::Widened(Search { scope, entry, packet, held, state, .. }) => {
+                (scope, entry, packet, held, state.waiting, state.unsure)
+            }
             Self::Probing(Search { scope, entry, packet, held, state, .. }) => {
                 (scope, entry, packet, held, state.waiting, BTreeSet::new())
             }
@@ -210,4 +189,21 @@
         let packet = held.pop().unwrap_or(packet);
         Unresolved { packet, entry, scope, silent, unsure, since: now }
     }
+
+    fn waiting_mut(&mut self) -> &mut BTreeSet<SocketAddr> {
+        match self {
+            Self::Asking(search) => &mut search.state.waiting,
+            Self::Widened(search) => &mut search.state.waiting,
+            Self::Probing(search) => &mut search.state.waiting,
+        }
+    }
+
+    // None once the backend servers are probed.
+    fn unsure_mut(&mut self) -> Option<&mut BTreeSet<SocketAddr>> {
+        match self {
+            Self::Asking(search) => Some(&mut search.state.unsure),
+            Self::Widened(search) => Some(&mut search.state.unsure),
+            Self::Probing(_) => None,
+        }
+    }
 }
--- a/lib/src/connection/searches.rs
+++ b/lib/src/connection/searches.rs
@@ -115,6 +115,11 @@
         self.unresolved.iter()
     }
 
+    /// Returns whether there are unresolved flows.
+    pub fn has_unresolved(&self) -> bool {
+        !self.unresolved.is_empty()
+    }
+
     /// Returns whether no search is in progress.
     pub fn is_empty(&self) -> bool {
         self.flows.is_empty()
--- a/lib/src/connection/segment.rs
+++ b/lib/src/connection/segment.rs
@@ -60,6 +60,11 @@
         self.seq.wrapping_add(u32::from(self.len)).wrapping_add(self.flags.closes.into())
     }
 
+    /// Returns the acknowledgement number, if the packet has one.
+    pub fn acked(&self) -> Option<u32> {
+        self.flags.acks.then_some(self.ack)
+    }
+
     /// Returns how many bytes the packet acknowledges to a backend server with
     /// initial sequence number `isn`; none if it acknowledges nothing, or more than
     /// a flow carries.
--- a/lib/src/connection/unresolved.rs
+++ b/lib/src/connection/unresolved.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use super::search::Scope;
+use super::scope::Scope;
 use super::segment::Packet;
 use super::segment::Segment;
 use crate::value::moment::Moment;
--- a/lib/src/front/packet/context.rs
+++ b/lib/src/front/packet/context.rs
@@ -97,6 +97,12 @@
         members.iter().map(|m| self.link(m)).filter(|l| *l != self.me.link).collect()
     }
 
+    /// Returns the other agents of all services.
+    pub fn all_peers(&self) -> impl Iterator<Item = SocketAddr> {
+        let links = self.view.roster.members().iter().map(|m| self.link(m));
+        links.filter(|l| *l != self.me.link)
+    }
+
     /// Returns the homes of a flow of a service.
     pub fn homes(&self, service: &Name, flow: &FlowKey) -> Vec<SocketAddr> {
         self.homes_in(&self.view.roster, service, flow)
--- a/lib/src/front/packet/event.rs
+++ b/lib/src/front/packet/event.rs
@@ -31,6 +31,8 @@
     /// A packet of an unknown flow was passed to the backend server, which returns it if it
     /// does not have the flow.
     Probed,
+    /// A search goes on to the agents of all other services.
+    Widened,
     /// The owner of a flow was found by a search.
     FoundOwner,
     /// This agent answered that it does not own a flow, though its table has one between the
--- a/lib/src/process/neighbours.rs
+++ b/lib/src/process/neighbours.rs
@@ -131,6 +131,12 @@
         self.by_link.iter().filter(move |(_, n)| fits(n)).map(|(link, _)| *link)
     }
 
+    /// Returns all agents that are reachable, of whatever service.
+    pub fn all_reachable(&self, now: Moment) -> impl Iterator<Item = SocketAddr> {
+        let recent = move |n: &Neighbour| now.since(n.heard) < NEIGHBOUR_TIMEOUT;
+        self.by_link.iter().filter(move |(_, n)| recent(n)).map(|(link, _)| *link)
+    }
+
     /// Forgets agents that are unreachable.
     pub fn expire(&mut self, now: Moment) {
         self.by_link.retain(|_, n| now.since(n.heard) < NEIGHBOUR_TIMEOUT);
--- a/lib/src/value/reason.rs
+++ b/lib/src/value/reason.rs
@@ -98,11 +98,13 @@
     PeerUnreachable,
     /// A queue between two threads was full.
     ChannelFull,
+    /// A home has asked too many agents lately to ask all for another flow.
+    SearchBudget,
 }
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 44] = [
+    pub const ALL: [Self; 45] = [
         Self::NoService,
         Self::NoBackend,
         Self::WrongService,
@@ -147,5 +149,6 @@
         Self::PlatformDown,
         Self::PeerUnreachable,
         Self::ChannelFull,
+        Self::SearchBudget,
     ];
 }
