--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -442,16 +442,19 @@
                 Action::Behind { peer, .. } => {
                     let listing = self.node(peer).map(|n| n.registry.listing());
                     let evacuations = self.node(peer).map(|n| n.view.evacuations.clone());
+                    let routes = self.node(peer).map(|n| n.view.routes.clone());
                     let now = self.now;
                     if let (Some(evacuations), Some(node)) = (evacuations, self.node(link))
                         && evacuations.revision() > node.view.evacuations.revision()
                     {
                         node.view.evacuations = evacuations;
                     }
-                    if let (Some(listing), Some(node)) = (listing, self.node(link))
+                    if let (Some(listing), Some(routes), Some(node)) =
+                        (listing, routes, self.node(link))
                         && node.store_lost.is_some()
                     {
                         node.registry.replace(listing, now);
+                        node.view.routes = node.follow(routes.published());
                     }
                 }
                 Action::Record(event) => self.events.push((self.now, link, event)),
