Test a leaving backend server whose entry lapses in an outage that nobody noticed

The registry keeps an entry that vanishes for 2.2 s, except one that says that its backend server leaves.

--- a/lib/tests/missed_outages.rs
+++ b/lib/tests/missed_outages.rs
@@ -137,6 +137,26 @@
     }
 }
 
+// A backend server that leaves serves its flows for some time. Its entry may lapse in an outage
+// that no read noticed, and is back within 2 s like any other.
+#[test]
+fn flows_of_a_leaving_backend_server_whose_entry_comes_back_are_not_reset() {
+    for seed in 0..SEEDS {
+        let mut world = open_flows(seed, &[("gallery", 4), ("feed", 4)]);
+        let share = |service: &str| Share { service: service.into(), weight: 1 };
+        world.reroute(vec![share("gallery"), share("feed")]);
+        world.leave(0);
+        world.run(SECOND);
+        world.deregister(0);
+        world.run(Duration::from_millis(350));
+        restart_entries(&mut world);
+        world.run(Duration::from_millis(1_550));
+        world.register(0);
+        world.run(SECOND * 40);
+        assert_open_flows_last(&world, seed);
+    }
+}
+
 /// Returns the registry of a process that knows two backend servers of `world`, and the
 /// removal of the second one's entry, from a store that states no epoch.
 fn known_entries(world: &World, now: Moment) -> (Registry, Change) {
