Test a backend server that the entry of a former holder of its address hides

Of two entries under one address the roster takes that with the later start. A former holder whose clock was ahead may write late, under another name and service.

--- a/lib/tests/missed_members.rs
+++ b/lib/tests/missed_members.rs
@@ -5,6 +5,7 @@
 
 use lagoonhollow_lib::front::packet::event::Decision;
 use lagoonhollow_lib::value::moment::Moment;
+use lagoonhollow_lib::version::member::Member;
 use lagoonhollow_lib::version::route::Share;
 use lagoonhollow_testutils::packets::caller::End;
 use lagoonhollow_testutils::packets::caller::Plan;
@@ -147,3 +148,30 @@
         assert_open_flows_last(&world, seed);
     }
 }
+
+// The entry of a former holder of the address is written late, under another name, and states a
+// later start as its clock was ahead. It hides that of the present holder.
+#[test]
+fn a_late_entry_of_a_former_holder_of_the_address_ends_no_flow() {
+    for seed in 0..SEEDS {
+        let mut world = World::open(seed, ENTRIES, &[("gallery", 4), ("misc", 1)]);
+        world.run(SECOND * 2);
+        call(&mut world);
+        world.run(SECOND);
+        let present = world.backends[0].member.clone();
+        world.write_entry(Member {
+            name: "former".into(),
+            service: "misc".into(),
+            born: present.born + 3_000,
+            ..present
+        });
+        world.run(Duration::from_millis(350));
+        restart_agents(&mut world, 1..4);
+        (0..ENTRIES).for_each(|i| world.kill_entry(i));
+        (0..ENTRIES).for_each(|i| world.start_entry(i));
+        let since = world.now;
+        world.run(SECOND * 40);
+        assert!(searches(&world, 1..4, since) > 0, "seed {seed}");
+        assert_open_flows_last(&world, seed);
+    }
+}
