Keep backend servers of unlisted services apart in the roster instead of dropping them

The roster left out entries of services that the configuration does not list.

Roster::unlisted() has them now, one of each VM and none of a VM with a member. Beyond 1,024 VMs the rest is left out and Roster::lists_all() says so. The search does not use either yet.

--- a/lib/src/process/registry.rs
+++ b/lib/src/process/registry.rs
@@ -204,15 +204,16 @@
     }
 
     /// Returns the roster of the registered backend servers, and those that may come
-    /// back, of the services that `routes` has.
+    /// back. Those of services that `routes` does not have are kept apart: they may hold
+    /// flows of a version that this process has not seen, or be of another writer.
     pub fn roster(&self, routes: &Published) -> Roster {
         let lapsed = self.lapsed.values().map(|(entry, _)| entry);
         let current = |(name, entry)| (!self.lapsed.contains_key(name)).then_some(entry);
         let entries = self.present.iter().filter_map(current).chain(lapsed);
         let services = routes.known_services();
         let known = |m: &&Member| services.as_ref().is_none_or(|s| s.contains(&m.service));
-        let members = entries.map(|e| &e.member).filter(known);
-        Roster::open(self.revision, members.cloned())
+        let (members, unlisted): (Vec<_>, Vec<_>) = entries.map(|e| &e.member).partition(known);
+        Roster::open(self.revision, members.into_iter().cloned()).with_unlisted(unlisted)
     }
 
     /// Returns the update that brings a peer at `revision` to this revision.
--- a/lib/src/version/roster.rs
+++ b/lib/src/version/roster.rs
@@ -11,6 +11,9 @@
 use super::revision::Revision;
 use crate::value::name::Name;
 
+/// Maximum number of backend servers of unlisted services.
+const MAX_UNLISTED: usize = 1_024;
+
 /// The pool of one service's members, ranked for each flow.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -26,6 +29,9 @@
     pools: BTreeMap<Name, Pool>,
     by_address: HashMap<SocketAddr, Arc<Member>>,
     by_vm: HashMap<IpAddr, Arc<Member>>,
+    unlisted: Vec<Arc<Member>>,
+    // Number of VMs with backend servers of unlisted services beyond the limit.
+    omitted: usize,
 }
 
 impl Pool {
@@ -66,7 +72,29 @@
         }
         let pools = services.into_iter().map(|(name, list)| (name, Pool::open(list))).collect();
         let by_vm = members.iter().map(|m| (m.address.ip(), m.clone())).collect();
-        Self { revision, members, pools, by_address, by_vm }
+        Self { revision, members, pools, by_address, by_vm, unlisted: Vec::new(), omitted: 0 }
+    }
+
+    /// Adds `members` of services that the configuration does not list. They get no flows and
+    /// hold no address, but may own flows that were opened under an earlier version.
+    ///
+    /// One member is kept of each VM, the one that started last, and none of a VM that the
+    /// roster already has a member on. Up to 1,024 are kept.
+    pub fn with_unlisted<'a>(mut self, members: impl IntoIterator<Item = &'a Member>) -> Self {
+        let mut by_vm: HashMap<IpAddr, &Member> = HashMap::new();
+        for member in members {
+            let ip = member.address.ip();
+            let kept = by_vm.get(&ip).is_some_and(|m| m.born > member.born);
+            if !kept && !self.by_vm.contains_key(&ip) {
+                by_vm.insert(ip, member);
+            }
+        }
+        let mut unlisted: Vec<_> = by_vm.into_values().collect();
+        unlisted.sort_by(|a, b| a.name.cmp(&b.name));
+        self.omitted = unlisted.len().saturating_sub(MAX_UNLISTED);
+        unlisted.truncate(MAX_UNLISTED);
+        self.unlisted = unlisted.into_iter().cloned().map(Arc::new).collect();
+        self
     }
 
     /// Returns the revision that the roster was read at.
@@ -74,11 +102,24 @@
         self.revision
     }
 
-    /// Returns all members, sorted by name.
+    /// Returns all members of listed services, sorted by name.
     pub fn members(&self) -> &[Arc<Member>] {
         &self.members
     }
 
+    /// Returns the backend servers of services that the configuration does not list, sorted by
+    /// name, on VMs where no member is.
+    pub fn unlisted(&self) -> &[Arc<Member>] {
+        &self.unlisted
+    }
+
+    /// Returns whether [`members`](Self::members) and [`unlisted`](Self::unlisted) together
+    /// have every VM with a registered backend server; otherwise a flow that none of them owns
+    /// may be owned by another one.
+    pub fn lists_all(&self) -> bool {
+        self.omitted == 0
+    }
+
     /// Returns the members of a service.
     pub fn pool(&self, service: &Name) -> Option<&Pool> {
         self.pools.get(service)
