Tell the agents of all services that a backend server's run has ended

An agent that stops after its backend server told only the agents of services that share a route with its own, as far as it had seen versions.

It now tells all agents of the roster, twice. At 6,200 agents one tick would send 6,199 datagrams, so a round is sent in parts of at most 512 every 10 ms, and the agent counts as having something pending meanwhile. The second round starts 150 ms after the first instead of 200 ms, so that both fit into the stop of 300 ms that deploy/settings.ini sets. Each process has its own order of receivers, so that many that stop at once do not all send to the same one.

--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -150,10 +150,10 @@
         own.or_else(|| self.home.owner(flow))
     }
 
-    /// Returns whether placements or searches are in progress, which time out
-    /// after tens of milliseconds.
+    /// Returns whether placements, searches or a notice to all agents are in progress, whose
+    /// next step is due after tens of milliseconds at most.
     pub fn has_pending(&self) -> bool {
-        self.placer.has_pending() || self.home.has_pending()
+        self.placer.has_pending() || self.home.has_pending() || self.exchange.has_pending()
     }
 
     /// Returns whether the backend server accepts new flows.
--- a/lib/src/front/packet/run_exchange.rs
+++ b/lib/src/front/packet/run_exchange.rs
@@ -3,7 +3,11 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::context::AgentContext;
 use super::event::Decision;
@@ -11,6 +15,7 @@
 use super::local_backend::LocalBackend;
 use super::message::Message;
 use super::unsure_answers::UnsureAnswers;
+use crate::process::end_notice::EndNotice;
 use crate::process::first_run::FirstRun;
 use crate::process::known_runs::KnownRuns;
 use crate::value::moment::Moment;
@@ -24,12 +29,6 @@
 /// have few.
 const ASKED_OF_OTHERS: usize = 4;
 
-/// Number of times that the end of the backend server's run is told, as a datagram may be
-/// lost.
-const ENDED_ROUNDS: u32 = 2;
-/// Time between them.
-const ENDED_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Evidence about this process, and the memory of other processes' runs.
 #[derive(Debug, Default)]
 pub struct RunExchange {
@@ -46,8 +45,8 @@
     complete: bool,
     // The last registered run of the backend server.
     last: Option<Arc<Member>>,
-    // How often and when its end was told.
-    told: (u32, Moment),
+    // Progress of telling its end.
+    notice: EndNotice,
 }
 
 impl RunExchange {
@@ -97,25 +96,22 @@
         self.complete && !before
     }
 
-    /// Tells the agents whose searches may concern this one that the run of its backend
-    /// server has ended, once it has.
+    /// Returns whether other agents are being told that the run of the backend server has ended.
+    pub fn has_pending(&self) -> bool {
+        self.notice.is_pending()
+    }
+
+    /// Tells all other agents that the run of the backend server has ended, once it has. At
+    /// the target size that is two rounds to 6,200 agents, of at most 512 datagrams every 10 ms.
     fn tell_end(&mut self, context: &mut AgentContext, backend: &LocalBackend, now: Moment) {
-        let (rounds, at) = self.told;
-        let due = rounds == 0 || rounds < ENDED_ROUNDS && now.since(at) >= ENDED_INTERVAL;
         let last = self.last.as_ref();
-        if !due || !backend.health().has_ended(last.map(Arc::as_ref), now) {
+        if !backend.health().has_ended(last.map(Arc::as_ref), now) {
             return;
         }
-        self.told = (rounds + 1, now);
-        let routes = &context.view.routes.published().routes;
-        let service = last.map_or(&context.me.service, |m| &m.service);
-        let routes = routes.iter().filter(|r| r.holders().any(|s| s == service));
-        let mut services: BTreeSet<_> = routes.flat_map(|r| r.holders()).collect();
-        services.insert(service);
-        let links: BTreeSet<_> = services.into_iter().flat_map(|s| context.peers(s)).collect();
+        let part = self.notice.next_part(|| others(context), now);
         let (link, run) = (context.me.link, context.me.run);
         let ended = Message::Ended { link, run, ended: last.map(|m| m.run()) };
-        for peer in links {
+        for peer in part {
             context.send(peer, ended.clone());
         }
     }
@@ -140,6 +136,17 @@
     }
 }
 
+/// Returns the other agents of the roster in an order of this process's own. Agents of many VMs
+/// that stop at once send to different ones at a time.
+fn others(context: &AgentContext) -> Vec<SocketAddr> {
+    let members = context.view.roster.members().iter();
+    let links: BTreeSet<_> = members.map(|m| context.link(m)).collect();
+    let mut links: Vec<_> = links.into_iter().filter(|l| *l != context.me.link).collect();
+    let seed = xxh3_64_with_seed(context.me.link.to_string().as_bytes(), context.me.run.0);
+    links.shuffle(&mut Pcg64Mcg::seed_from_u64(seed));
+    links
+}
+
 /// Returns the agents to ask, which follow from the roster and this agent's address.
 fn asked(context: &AgentContext, service: &Name) -> Vec<SocketAddr> {
     let roster = &context.view.roster;
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod cold_backends;
 pub mod confirmation;
 pub mod context;
+pub mod end_notice;
 pub mod ended_runs;
 pub mod first_run;
 pub mod flow_location;
