Reset or probe for a flow only if the backend servers are known that were registered when its packet came

An open flow was reset, or its packets went to other backend servers and none to its own, by a home whose roster lacked the owner: a roster counts as current for up to half of the strictest bound (2.5 s), agents of other services send no heartbeats to this one, and a probe needed no current roster at all.

A home now concludes nothing, and has no backend server probed, before its roster is known to be complete as of the flow's first packet: a backend server that registers later can't have the flow. During an outage of the store it stays silent.

Weighed: the same time for the routes (the search doesn't depend on them any more); waiting for the next confirmation by an observer (up to 1.7 s, in which callers give up).

--- a/daemon/src/connection/packet/executor.rs
+++ b/daemon/src/connection/packet/executor.rs
@@ -69,6 +69,12 @@
                         self.metrics.count(Reason::ChannelFull);
                     }
                 }
+                // Another conclusion asks again if the queue is full.
+                Action::Confirm => {
+                    if self.reports.try_send(Report::Confirm).is_err() {
+                        self.metrics.count(Reason::ChannelFull);
+                    }
+                }
                 Action::Answered { peer, known, sent, age } => {
                     let report = Report::Answered { peer, known, sent, age };
                     if self.reports.try_send(report).is_err() {
--- a/daemon/src/process/packet/control.rs
+++ b/daemon/src/process/packet/control.rs
@@ -70,6 +70,7 @@
     let Incarnation(run) = clock.incarnation();
     spdlog::info!("started", kv: { run, first_start = shared.settings.first_start });
     let pulling = Rc::new(Cell::new(false));
+    let confirming = Rc::new(Cell::new(false));
     let mut check = interval(EXPIRY_INTERVAL);
     loop {
         tokio::select! {
@@ -90,6 +91,14 @@
                     shared.publish();
                 }
                 Report::Answered { .. } => {}
+                Report::Confirm if !confirming.replace(true) => {
+                    let (shared, confirming) = (shared.clone(), confirming.clone());
+                    spawn(async move {
+                        follow::confirm_members(&shared).await;
+                        confirming.set(false);
+                    });
+                }
+                Report::Confirm => {}
                 Report::Drained => break,
             },
             _ = check.tick() => shared.publish(),
@@ -120,7 +129,8 @@
         };
         match timeout(DRAIN_SLACK, reports.recv()).await {
             Ok(Some(Report::Drained) | None) => open = 0,
-            Ok(Some(Report::Behind { .. } | Report::Answered { .. })) | Err(_) => {}
+            Ok(Some(Report::Behind { .. } | Report::Answered { .. } | Report::Confirm))
+            | Err(_) => {}
         }
     }
 }
--- a/daemon/src/process/packet/traffic_queues.rs
+++ b/daemon/src/process/packet/traffic_queues.rs
@@ -58,6 +58,8 @@
         /// Time since which a change may be missing there; none if it can't tell.
         age: Option<Duration>,
     },
+    /// What is registered in the store now decides about a flow.
+    Confirm,
     /// The traffic thread has drained or ended.
     Drained,
 }
--- a/daemon/src/version/packet/follow.rs
+++ b/daemon/src/version/packet/follow.rs
@@ -5,6 +5,7 @@
 
 use lagoonhollow_lib::process::confirmation::Part;
 use lagoonhollow_lib::process::confirmation::Step;
+use lagoonhollow_lib::value::reason::Reason;
 use lagoonhollow_platform::error::StoreError;
 use lagoonhollow_platform::store::StoreClient;
 use tokio::time::sleep;
@@ -75,6 +76,17 @@
     }
 }
 
+/// Reads once what has changed of the registered backend servers, beside [`follow`], which may
+/// wait for a change or not read at all. A failure is left to that to notice.
+pub async fn confirm_members(shared: &Shared) {
+    let Some(after) = shared.knowledge.position(Part::Members) else { return };
+    let store = open(shared).await;
+    let read = read::changes(Part::Members, &store, shared, after, Duration::ZERO).await;
+    if read.is_err() {
+        shared.metrics.count(Reason::PlatformDown);
+    }
+}
+
 /// Opens a client that shares no connection with an earlier one.
 async fn open(shared: &Shared) -> StoreClient {
     StoreClient::open(&shared.settings.store, CALL_TIMEOUT).await
--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -245,6 +245,7 @@
         let fresh = current && state.registry.confirms_absence(now);
         let partial = current && !fresh;
         let read = state.confirmation.confirmed_at().unwrap_or_default();
+        let members_at = state.confirmation.members_at().unwrap_or_default();
         let routes = self.view.borrow().routes.clone();
         // A revision without a difference is published too: other processes compare it.
         let later = state.registry.revision() != self.view.borrow().roster.revision();
@@ -253,8 +254,10 @@
         drop(state);
         self.view.send_if_modified(|view| {
             let modified = roster.is_some()
-                || (fresh, partial, read) != (view.fresh, view.partial, view.read_at);
+                || (fresh, partial, read) != (view.fresh, view.partial, view.read_at)
+                || members_at != view.members_at;
             (view.fresh, view.partial, view.read_at) = (fresh, partial, read);
+            view.members_at = members_at;
             if let Some(roster) = roster {
                 view.roster = roster.into();
             }
--- a/lib/benches/speed/packets.rs
+++ b/lib/benches/speed/packets.rs
@@ -154,6 +154,7 @@
         fresh: true,
         partial: false,
         read_at: START,
+        members_at: START,
     }
 }
 
--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -24,6 +24,8 @@
     pub packet: Packet,
     /// Packets of the flow that came after it.
     pub held: Vec<Packet>,
+    /// When the first packet came that was searched for; the flow was open before.
+    pub opened: Moment,
     /// When the search entered the state.
     pub since: Moment,
     /// State of the search.
@@ -44,7 +46,7 @@
 }
 
 /// The agents of all registered backend servers have been asked.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Widened {
     /// Whether the question carried the packet, which an owner has delivered then.
     pub carried: bool,
@@ -76,7 +78,7 @@
 impl<S> Search<S> {
     /// Opens a search.
     pub fn open(scope: Scope, entry: SocketAddr, packet: Packet, state: S, now: Moment) -> Self {
-        Self { scope, entry, packet, held: Vec::new(), since: now, state }
+        Self { scope, entry, packet, held: Vec::new(), opened: now, since: now, state }
     }
 
     /// Holds a packet until the search ends; drops it beyond the limit.
@@ -86,9 +88,21 @@
         }
     }
 
+    /// Ends without an owner; `silent` have not answered and `unsure` could not tell.
+    fn end(
+        self,
+        silent: BTreeSet<SocketAddr>,
+        unsure: BTreeSet<SocketAddr>,
+        now: Moment,
+    ) -> Unresolved {
+        let Self { scope, entry, packet, mut held, opened, .. } = self;
+        let packet = held.pop().unwrap_or(packet);
+        Unresolved { packet, entry, scope, silent, unsure, opened, since: now }
+    }
+
     fn transition<T>(self, scope: Scope, state: T, now: Moment) -> Search<T> {
-        let Self { entry, packet, held, .. } = self;
-        Search { scope, entry, packet, held, since: now, state }
+        let Self { entry, packet, held, opened, .. } = self;
+        Search { scope, entry, packet, held, opened, since: now, state }
     }
 }
 
@@ -175,19 +189,20 @@
 
     /// Ends the search without an owner.
     pub fn unresolve(self, now: Moment) -> Unresolved {
-        let (scope, entry, packet, mut held, silent, unsure) = match self {
-            Self::Asking(Search { scope, entry, packet, held, state, .. }) => {
-                (scope, entry, packet, held, state.waiting, state.unsure)
+        match self {
+            Self::Asking(search) => {
+                let Asking { waiting, unsure, .. } = search.state.clone();
+                search.end(waiting, unsure, now)
             }
-            Self::Widened(Search { scope, entry, packet, held, state, .. }) => {
-                (scope, entry, packet, held, state.waiting, state.unsure)
+            Self::Widened(search) => {
+                let Widened { waiting, unsure, .. } = search.state.clone();
+                search.end(waiting, unsure, now)
             }
-            Self::Probing(Search { scope, entry, packet, held, state, .. }) => {
-                (scope, entry, packet, held, state.waiting, BTreeSet::new())
+            Self::Probing(search) => {
+                let waiting = search.state.waiting.clone();
+                search.end(waiting, BTreeSet::new(), now)
             }
-        };
-        let packet = held.pop().unwrap_or(packet);
-        Unresolved { packet, entry, scope, silent, unsure, since: now }
+        }
     }
 
     fn waiting_mut(&mut self) -> &mut BTreeSet<SocketAddr> {
--- a/lib/src/connection/unresolved.rs
+++ b/lib/src/connection/unresolved.rs
@@ -38,6 +38,8 @@
     pub silent: BTreeSet<SocketAddr>,
     /// Agents that answered that they can't tell without a probe.
     pub unsure: BTreeSet<SocketAddr>,
+    /// When the first packet came that was searched for; the flow was open before.
+    pub opened: Moment,
     /// When the last search for the flow ended.
     pub since: Moment,
 }
--- a/lib/src/front/packet/action.rs
+++ b/lib/src/front/packet/action.rs
@@ -51,6 +51,9 @@
         /// The versions that it knows.
         known: KnownVersions,
     },
+    /// Read from the source which backend servers are registered now: what is concluded about a
+    /// flow depends on it.
+    Confirm,
     /// Another process answered a version query.
     Answered {
         /// Its datagram address.
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -105,7 +105,8 @@
         if !Arc::ptr_eq(&before.roster, &after.roster) {
             self.queries.update(&after.roster);
         }
-        if before.fresh != after.fresh || !Arc::ptr_eq(&before.roster, &after.roster) {
+        let confirmed = before.members_at != after.members_at && self.home.has_unresolved();
+        if confirmed || before.fresh != after.fresh || !Arc::ptr_eq(&before.roster, &after.roster) {
             self.review_absences(now);
         }
         if !self.hello_sent {
--- a/lib/src/front/packet/home.rs
+++ b/lib/src/front/packet/home.rs
@@ -20,6 +20,7 @@
 use crate::connection::search_budget::SearchBudget;
 use crate::connection::searches::Searches;
 use crate::connection::segment::Packet;
+use crate::process::confirm_limit::ConfirmLimit;
 use crate::process::neighbours::Neighbours;
 use crate::value::moment::Moment;
 use crate::value::reason::Reason;
@@ -36,6 +37,7 @@
     directory: Directory,
     searches: Searches,
     budget: SearchBudget,
+    confirms: ConfirmLimit,
 }
 
 impl Home {
@@ -54,6 +56,11 @@
         self.directory.has_claim(link, since)
     }
 
+    /// Returns whether flows wait for proof that they are open nowhere.
+    pub fn has_unresolved(&self) -> bool {
+        self.searches.has_unresolved()
+    }
+
     /// Returns whether searches are in progress.
     pub fn has_pending(&self) -> bool {
         !self.searches.is_empty()
--- a/lib/src/front/packet/home/candidates.rs
+++ b/lib/src/front/packet/home/candidates.rs
@@ -55,6 +55,13 @@
     agents
 }
 
+/// Returns whether the agents of all backend servers that may own a flow are known: those that
+/// were registered when its first packet came, at `opened`. One that registers later can't have
+/// it, and a roster that counts as current may be seconds old.
+pub(super) fn knows_all(context: &AgentContext, opened: Moment, now: Moment) -> bool {
+    context.is_settled(now) && context.view.members_at >= opened
+}
+
 /// Returns whom a search among `candidates` concerns. Agents whose backend servers have ended
 /// are listed and not asked, and a later run at their addresses is.
 pub(super) fn scope(
--- a/lib/src/front/packet/home/resolution.rs
+++ b/lib/src/front/packet/home/resolution.rs
@@ -11,6 +11,7 @@
 use super::super::message::Message;
 use super::Home;
 use super::candidates::candidates;
+use super::candidates::knows_all;
 use super::candidates::scope;
 use crate::connection::flow::FlowKey;
 use crate::connection::scope::Reach;
@@ -39,6 +40,7 @@
         }
         let candidates = candidates(context, backend, neighbours, &Reach::Fleet, now);
         let open = self.searches.unresolved().filter(|(_, u)| !u.is_blocked(&candidates));
+        let open = open.filter(|(_, u)| knows_all(context, u.opened, now));
         let due: Vec<_> = open.map(|(flow, _)| *flow).collect();
         for flow in due {
             self.resolve(context, backend, neighbours, &flow, &candidates, now);
@@ -54,9 +56,19 @@
         flow: &FlowKey,
         now: Moment,
     ) {
-        if context.is_settled(now) && self.searches.unresolved_flow(flow).is_some() {
-            let candidates = candidates(context, backend, neighbours, &Reach::Fleet, now);
+        let Some(unresolved) = self.searches.unresolved_flow(flow) else { return };
+        let candidates = candidates(context, backend, neighbours, &Reach::Fleet, now);
+        if knows_all(context, unresolved.opened, now) {
             self.resolve(context, backend, neighbours, flow, &candidates, now);
+        } else if !unresolved.is_blocked(&candidates) {
+            self.confirm(context, now);
+        }
+    }
+
+    /// Asks for a read of the registered backend servers, if one is allowed now.
+    fn confirm(&mut self, context: &mut AgentContext, now: Moment) {
+        if self.confirms.take(context.view.roster.members().len(), now) {
+            context.act(Action::Confirm);
         }
     }
 
@@ -89,10 +101,11 @@
             context.tally.add(Reason::SearchBudget);
             return;
         }
-        let (entry, packet) = (unresolved.entry, unresolved.packet.clone());
+        let (entry, packet, opened) =
+            (unresolved.entry, unresolved.packet.clone(), unresolved.opened);
         let scope = scope(context, neighbours, Reach::Fleet, candidates);
         let state = Widened { carried: false, waiting: waiting.clone(), unsure };
-        let search = Search::open(scope, entry, packet, state, now);
+        let search = Search { opened, ..Search::open(scope, entry, packet, state, now) };
         self.ask_widened(context, backend, neighbours, search, &waiting, now);
     }
 
@@ -142,11 +155,17 @@
     ) {
         let unresolved = search.unresolve(now);
         let candidates = candidates(context, backend, neighbours, &Reach::Fleet, now);
-        if context.is_settled(now) && reset_if_absent(context, &unresolved, &candidates) {
+        let known = knows_all(context, unresolved.opened, now);
+        if known && reset_if_absent(context, &unresolved, &candidates) {
             self.searches.end(&flow);
             return;
         }
-        let event = Event::of(Decision::Dropped).reason(Reason::OwnerUnknown).flow(flow);
+        let blocked = unresolved.is_blocked(&candidates);
+        if !known && !blocked {
+            self.confirm(context, now);
+        }
+        let reason = if known || blocked { Reason::OwnerUnknown } else { Reason::Unconfirmed };
+        let event = Event::of(Decision::Dropped).reason(reason).flow(flow);
         let open = unresolved.silent.len() + unresolved.unsure.len();
         let outcome = Some(unresolved.outcome(&candidates));
         let peer = unresolved.silent.first().or(unresolved.unsure.first()).copied();
--- a/lib/src/front/packet/home/search.rs
+++ b/lib/src/front/packet/home/search.rs
@@ -10,6 +10,7 @@
 use super::super::message::Message;
 use super::Home;
 use super::candidates::candidates;
+use super::candidates::knows_all;
 use super::candidates::likely_services;
 use super::candidates::scope;
 use crate::connection::flow::FlowKey;
@@ -40,6 +41,7 @@
             return;
         }
         let outcome = self.searches.outcome(&packet.segment);
+        let opened = outcome.map_or(now, |u| u.opened);
         let whole = outcome.is_some_and(|u| u.scope.is_whole());
         let reach = match whole {
             true => Reach::Fleet,
@@ -57,11 +59,12 @@
         if whole {
             let state = Widened { carried, waiting, unsure };
             let asked = state.waiting.clone();
-            let search = Search::open(scope, entry, packet, state, now);
+            let search = Search { opened, ..Search::open(scope, entry, packet, state, now) };
             self.ask_widened(context, backend, neighbours, search, &asked, now);
         } else {
             let state = Asking { carried, waiting, unsure };
-            let mut search = Search::open(scope, entry, packet, state, now);
+            let search = Search::open(scope, entry, packet, state, now);
+            let mut search = Search { opened, ..search };
             // This agent is a candidate only if it can't tell without a probe.
             search.state.unsure.extend(search.state.waiting.take(&context.me.link));
             send_questions(context, Decision::Searched, &search, carried, &search.state.waiting);
@@ -104,9 +107,9 @@
             Some(SearchState::Asking(search)) => {
                 self.widen(context, backend, neighbours, search, now);
             }
-            // Just after the source's return the owner may be missing from the roster.
+            // Without the owner among them, the flow's packet would only reach others.
             Some(SearchState::Widened(search))
-                if !search.state.unsure.is_empty() && !context.view.partial =>
+                if !search.state.unsure.is_empty() && knows_all(context, search.opened, now) =>
             {
                 let search = search.probe(now);
                 let (entry, packet) = (search.entry, search.packet.clone());
--- a/lib/src/process/confirmation.rs
+++ b/lib/src/process/confirmation.rs
@@ -124,6 +124,12 @@
         Some(self.orders.confirmed?.0.min(self.members.confirmed?.0))
     }
 
+    /// Returns the time up to which no change of the backend servers is missing, none before
+    /// they were read.
+    pub fn members_at(&self) -> Option<Moment> {
+        Some(self.members.confirmed?.0)
+    }
+
     /// Returns what confirmed the part that was confirmed longest ago.
     pub fn witness(&self) -> Option<Witness> {
         let (orders, members) = (self.orders.confirmed?, self.members.confirmed?);
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod action;
 pub mod agent;
 pub mod cold_backends;
+pub mod confirm_limit;
 pub mod confirmation;
 pub mod context;
 pub mod end_notice;
--- a/lib/src/process/view.rs
+++ b/lib/src/process/view.rs
@@ -26,6 +26,8 @@
     pub partial: bool,
     /// Time up to which no change of the source is missing.
     pub read_at: Moment,
+    /// Time up to which no change of the registered backend servers is missing.
+    pub members_at: Moment,
 }
 
 impl View {
--- a/lib/src/value/reason.rs
+++ b/lib/src/value/reason.rs
@@ -100,11 +100,13 @@
     ChannelFull,
     /// A home has asked too many agents lately to ask all for another flow.
     SearchBudget,
+    /// The backend servers that were registered when a packet came are not known yet.
+    Unconfirmed,
 }
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 45] = [
+    pub const ALL: [Self; 46] = [
         Self::NoService,
         Self::NoBackend,
         Self::WrongService,
@@ -150,5 +152,6 @@
         Self::PeerUnreachable,
         Self::ChannelFull,
         Self::SearchBudget,
+        Self::Unconfirmed,
     ];
 }
--- a/testutils/src/packets/world.rs
+++ b/testutils/src/packets/world.rs
@@ -56,6 +56,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between reads of the store by one process.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Time of a read that a process asks for.
+const CONFIRM_TIME: Duration = Duration::from_millis(8);
 /// Time of a read after a pause.
 const READ_DELAY: Duration = Duration::from_millis(20);
 /// Time after which a leaving backend server must get no new flows.
@@ -93,6 +95,7 @@
     Wake(FlowKey, u64),
     Tick(SocketAddr),
     Read(SocketAddr),
+    Confirm(SocketAddr),
 }
 
 /// A copy of the entries that the store held at one time.
@@ -343,7 +346,8 @@
                 }
             }
             SimEvent::Tick(link) => self.tick(link),
-            SimEvent::Read(link) => self.read_store(link),
+            SimEvent::Read(link) => self.read_store(link, true),
+            SimEvent::Confirm(link) => self.read_store(link, false),
         }
     }
 
@@ -372,10 +376,13 @@
         self.schedule(TICK_INTERVAL, SimEvent::Tick(link));
     }
 
-    /// Reads the store for a process and passes it the new view.
-    fn read_store(&mut self, link: SocketAddr) {
+    /// Reads the store for a process and passes it the new view; `again` if it reads regularly.
+    fn read_store(&mut self, link: SocketAddr, again: bool) {
         let now = self.now;
         let paused_until = self.node(link).map_or(Moment::default(), |n| n.paused_until);
+        if paused_until > now && !again {
+            return;
+        }
         if paused_until > now {
             self.schedule(paused_until.since(now) + READ_DELAY, SimEvent::Read(link));
             return;
@@ -402,10 +409,13 @@
         let roster = node.registry.roster(routes.published()).into();
         let partial = readable && !fresh;
         let evacuations = if readable { evacuations } else { node.view.evacuations.clone() };
-        let view = View { routes, roster, evacuations, fresh, partial, read_at };
+        let members_at = read_at;
+        let view = View { routes, roster, evacuations, fresh, partial, read_at, members_at };
         node.update_view(view, now);
         self.perform(link);
-        self.schedule(READ_INTERVAL.max(read_delay), SimEvent::Read(link));
+        if again {
+            self.schedule(READ_INTERVAL.max(read_delay), SimEvent::Read(link));
+        }
     }
 
     /// Performs the actions that the process at `link` requests.
@@ -457,6 +467,7 @@
                         node.view.routes = node.follow(routes.published());
                     }
                 }
+                Action::Confirm => self.schedule(CONFIRM_TIME, SimEvent::Confirm(link)),
                 Action::Record(event) => self.events.push((self.now, link, event)),
                 Action::Measured(..) | Action::Answered { .. } => {}
             }
