Ask the agents of backend servers whose service the configuration no longer lists

They are kept apart now; the search asks their agents as well, and concludes nothing if more are registered than the roster keeps.

--- a/lib/src/front/packet/context.rs
+++ b/lib/src/front/packet/context.rs
@@ -97,9 +97,10 @@
         members.iter().map(|m| self.link(m)).filter(|l| *l != self.me.link).collect()
     }
 
-    /// Returns the other agents of all services.
+    /// Returns the other agents of all services, listed in the configuration or not.
     pub fn all_peers(&self) -> impl Iterator<Item = SocketAddr> {
-        let links = self.view.roster.members().iter().map(|m| self.link(m));
+        let roster = &self.view.roster;
+        let links = roster.members().iter().chain(roster.unlisted()).map(|m| self.link(m));
         links.filter(|l| *l != self.me.link)
     }
 
--- a/lib/src/front/packet/home/candidates.rs
+++ b/lib/src/front/packet/home/candidates.rs
@@ -59,7 +59,8 @@
 /// were registered when its first packet came, at `opened`. One that registers later can't have
 /// it, and a roster that counts as current may be seconds old.
 pub(super) fn knows_all(context: &AgentContext, opened: Moment, now: Moment) -> bool {
-    context.is_settled(now) && context.view.members_at >= opened
+    let view = &context.view;
+    context.is_settled(now) && view.members_at >= opened && view.roster.lists_all()
 }
 
 /// Returns whom a search among `candidates` concerns. Agents whose backend servers have ended
