--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -3,8 +3,10 @@
 pub mod action;
 pub mod agent;
 pub mod cold_backends;
+pub mod confirm_limit;
 pub mod confirmation;
 pub mod context;
+pub mod end_notice;
 pub mod ended_runs;
 pub mod first_run;
 pub mod flow_location;
