Tell a dropped route's flow from a later one between the same addresses

An entry could reset an open flow whose route was away for a version: it remembered when the first packet of the flow before came, between the same addresses, took the routes that it had confirmed since for as late as those of the later flow, and refused it.

Two packets whose acknowledgement numbers are further apart than the bytes of a flow belong to two flows, as in the searches of homes (Segment::is_near, shared by both).

--- a/lib/src/connection/segment.rs
+++ b/lib/src/connection/segment.rs
@@ -65,6 +65,14 @@
         self.flags.acks.then_some(self.ack)
     }
 
+    /// Returns whether two packets between the same addresses belong to one flow rather than
+    /// to two, of which the later one uses the caller's address again.
+    pub fn is_near(&self, other: &Self) -> bool {
+        let ahead = other.ack.wrapping_sub(self.ack);
+        let behind = self.ack.wrapping_sub(other.ack);
+        other.flags.acks == self.flags.acks && ahead.min(behind) <= MAX_FLOW_BYTES
+    }
+
     /// Returns how many bytes the packet acknowledges to a backend server with
     /// initial sequence number `isn`; none if it acknowledges nothing, or more than
     /// a flow carries.
--- a/lib/src/connection/unresolved.rs
+++ b/lib/src/connection/unresolved.rs
@@ -8,10 +8,6 @@
 use super::segment::Segment;
 use crate::value::moment::Moment;
 
-/// Distance of two acknowledgement numbers beyond which they belong to two flows, of which
-/// the later one uses the caller's address again.
-const MAX_ACK_DISTANCE: u32 = 1 << 24;
-
 /// How the agents that have not ruled a flow out stand, by their number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SearchOutcome {
@@ -48,10 +44,7 @@
     /// Returns whether a packet belongs to this flow rather than to a later one between the
     /// same addresses.
     pub fn matches(&self, segment: &Segment) -> bool {
-        let own = &self.packet.segment;
-        let ahead = segment.ack.wrapping_sub(own.ack);
-        let behind = own.ack.wrapping_sub(segment.ack);
-        segment.flags.acks == own.flags.acks && ahead.min(behind) <= MAX_ACK_DISTANCE
+        self.packet.segment.is_near(segment)
     }
 
     /// Returns which of the agents that may own the flow now have not ruled it out.
--- a/lib/src/front/packet/entry.rs
+++ b/lib/src/front/packet/entry.rs
@@ -20,6 +20,7 @@
 use crate::connection::hints::Hints;
 use crate::connection::hints::Owner;
 use crate::connection::segment::Packet;
+use crate::connection::segment::Segment;
 use crate::connection::unrouted::HOME_TIMEOUT;
 use crate::connection::unrouted::Unrouted;
 use crate::connection::unrouted::UnroutedFlows;
@@ -279,7 +280,7 @@
             _ if segment.is_opening() => self.refuse(packet, Reason::NoService),
             Some(_) if dropped => self.refuse(packet, Reason::NoService),
             Some(owner) => self.deliver(owner, packet.clone()),
-            None if dropped && self.is_over(&segment.flow, now) => {
+            None if dropped && self.is_over(segment, now) => {
                 self.refuse(packet, Reason::NoService);
             }
             None => self.drop_packet(&segment.flow, Reason::NoService),
@@ -288,10 +289,10 @@
 
     /// Returns whether a flow whose route was dropped was not opened under later routes than
     /// this entry has.
-    fn is_over(&mut self, flow: &FlowKey, now: Moment) -> bool {
+    fn is_over(&mut self, segment: &Segment, now: Moment) -> bool {
         let latest = self.view.routes.version() >= self.latest_routes;
         let confirmed = (self.view.fresh && latest).then_some(self.view.read_at);
-        self.dropped.is_over(*flow, confirmed, now)
+        self.dropped.is_over(segment, confirmed, now)
     }
 
     fn refuse(&mut self, packet: &Packet, reason: Reason) {
