Leave the last copy of a probed packet to the flow's own backend server

After a restart of agents a home has a flow's packet passed to all backend servers whose agents can't tell. Copies reached others after the flow's own one, and a caller that then pauses sends no further packet for seconds: for 2 s, three or more packets had gone to other backend servers and none to its own. In a service that the route no longer names, the home was not told of the owner at all, since an owner claims only at homes of its own service.

The agent whose probe was answered claims the flow at the home that asked, which sends it the packet once more; a home whose probe was neither returned nor answered in time repeats it there.

--- a/lib/src/connection/search.rs
+++ b/lib/src/connection/search.rs
@@ -176,12 +176,13 @@
         }
     }
 
-    /// Takes the packets that waited for the end of the search.
+    /// Takes the packets that waited for the end of the search. A probe's packet is one of them:
+    /// its owner had it before or after the other backend servers, and must have the last copy.
     pub fn into_held(self) -> Vec<Packet> {
         let (carried, packet, held) = match self {
             Self::Asking(search) => (search.state.carried, search.packet, search.held),
             Self::Widened(search) => (search.state.carried, search.packet, search.held),
-            Self::Probing(search) => (true, search.packet, search.held),
+            Self::Probing(search) => (false, search.packet, search.held),
         };
         let first = (!carried).then_some(packet);
         first.into_iter().chain(held).collect()
--- a/lib/src/front/packet/agent.rs
+++ b/lib/src/front/packet/agent.rs
@@ -207,6 +207,7 @@
             return;
         }
         let segment = packet.segment;
+        let probe = self.backend.take_probe(&segment.flow);
         if let Some(served) = self.backend.handle_reply(&mut self.context, &segment, now) {
             self.placer.confirm(&segment.flow);
             let event = Event::of(Decision::Opened).flow(segment.flow);
@@ -214,6 +215,7 @@
                 self.context.record(event.value(u64::from(segment.seq)));
             }
             self.announce(&segment.flow, served.entry(), served.isn(), now);
+            self.claim_probed(&segment.flow, probe.and_then(|p| p.home), now);
             if let Some(search) = self.home.finish_search(&mut self.context, &segment.flow) {
                 let entry = search.entry();
                 for packet in search.into_held() {
@@ -328,6 +330,16 @@
         self.context.send(entry, Message::Found { flow: *flow, owner });
     }
 
+    /// Tells the home that had the backend server probed that this agent owns the flow. It need
+    /// not be one of the flow's homes in this agent's service.
+    fn claim_probed(&mut self, flow: &FlowKey, home: Option<SocketAddr>, now: Moment) {
+        if let Some(home) = home.filter(|home| *home != self.context.me.link) {
+            for claim in self.backend.claims(|f| f == flow, now) {
+                self.context.send(home, claim);
+            }
+        }
+    }
+
     /// Tells the flow's homes and its entry that this agent owns the flow.
     fn announce(
         &mut self,
--- a/lib/src/front/packet/home/resolution.rs
+++ b/lib/src/front/packet/home/resolution.rs
@@ -13,6 +13,7 @@
 use super::candidates::candidates;
 use super::candidates::knows_all;
 use super::candidates::scope;
+use super::search::send_probes;
 use crate::connection::flow::FlowKey;
 use crate::connection::scope::Reach;
 use crate::connection::search::Search;
@@ -135,6 +136,11 @@
                     self.widen(context, backend, neighbours, search, now);
                 }
                 search => {
+                    // The owner is among those that neither returned nor answered the packet,
+                    // and must have the last copy.
+                    if let SearchState::Probing(probing) = &search {
+                        send_probes(context, backend, probing, now);
+                    }
                     self.conclude(context, backend, neighbours, flow, search, now);
                     self.review_flow(context, backend, neighbours, &flow, now);
                 }
--- a/lib/src/front/packet/home/search.rs
+++ b/lib/src/front/packet/home/search.rs
@@ -16,6 +16,7 @@
 use crate::connection::flow::FlowKey;
 use crate::connection::scope::Reach;
 use crate::connection::search::Asking;
+use crate::connection::search::Probing;
 use crate::connection::search::Search;
 use crate::connection::search::SearchState;
 use crate::connection::search::Widened;
@@ -112,14 +113,7 @@
                 if !search.state.unsure.is_empty() && knows_all(context, search.opened, now) =>
             {
                 let search = search.probe(now);
-                let (entry, packet) = (search.entry, search.packet.clone());
-                for link in &search.state.waiting {
-                    if *link == context.me.link {
-                        backend.probe(context, &packet, entry, Some(*link), now);
-                    } else {
-                        context.send_packet(*link, Message::Search { entry, probe: true }, &packet);
-                    }
-                }
+                send_probes(context, backend, &search, now);
                 self.searches.start(*flow, search);
             }
             Some(search) => self.conclude(context, backend, neighbours, *flow, search, now),
@@ -174,3 +168,21 @@
         }
     }
 }
+
+/// Passes the packet of a search to the backend servers that have neither returned nor answered
+/// it.
+pub(super) fn send_probes(
+    context: &mut AgentContext,
+    backend: &mut LocalBackend,
+    search: &Search<Probing>,
+    now: Moment,
+) {
+    let (entry, packet) = (search.entry, &search.packet);
+    for link in &search.state.waiting {
+        if *link == context.me.link {
+            backend.probe(context, packet, entry, Some(*link), now);
+        } else {
+            context.send_packet(*link, Message::Search { entry, probe: true }, packet);
+        }
+    }
+}
--- a/lib/src/front/packet/local_backend/replies.rs
+++ b/lib/src/front/packet/local_backend/replies.rs
@@ -31,7 +31,6 @@
             // Only the run that accepted the flow's opening packet has the flow.
             self.health.heard_run(context, now);
         }
-        self.probes.take(&segment.flow);
         let flow = segment.flow;
         if segment.flags.aborts {
             self.end(context, &flow, now);
--- a/lib/tests/route_changes.rs
+++ b/lib/tests/route_changes.rs
@@ -169,3 +169,29 @@
         assert_open_flows_last(&world, seed);
     }
 }
+
+// The packet of a probe reached all other backend servers after its own, and a caller that
+// pauses sends no further one for seconds.
+#[test]
+fn the_last_copy_of_a_probed_packet_reaches_the_flows_own_backend_server() {
+    let pausing = Plan { requests: 6, pause: SECOND * 3, ..CHANNEL };
+    for seed in 0..SEEDS {
+        for reroutes in [false, true] {
+            let mut world = World::open(seed, ENTRIES, &[("gallery", 6), ("feed", 6)]);
+            world.run(SECOND * 2);
+            for i in 0..FLOWS {
+                world.call(0, pausing, Duration::from_millis(20 * i as u64));
+            }
+            world.run(SECOND * 2);
+            if reroutes {
+                world.reroute(to("feed"));
+            }
+            (0..12).for_each(|i| world.kill_agent(i));
+            world.run(Duration::from_millis(200));
+            (0..12).for_each(|i| world.start_agent(i, false));
+            restart_entries(&mut world);
+            world.run(SECOND * 40);
+            assert_open_flows_last(&world, seed);
+        }
+    }
+}
