Change the services of routes in the soak, around restarts

From seed 500 on it does, in series with restarts of processes and new backend servers, and half of the callers keep their flows open for 12 s. Which service may take a new flow follows the versions: one that was never sent is a finding, and one that was withdrawn over 4 s before as well if time limits are checked. Earlier seeds keep their runs.

--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -13,6 +13,9 @@
 
 /// Time within which faults begin, from the start of the callers.
 const FAULT_WINDOW: Duration = Duration::from_secs(10);
+/// Time around the change of a route's services within which processes and backend servers
+/// are restarted.
+const RESTART_SPREAD_MS: u64 = 1_000;
 /// Number of faults in one run.
 const FAULT_COUNT: std::ops::RangeInclusive<usize> = 6..=12;
 
@@ -72,6 +75,9 @@
     Evacuate { domain: u8, span: Duration },
     /// A new version of the routes is published.
     Publish,
+    /// A new version of the routes is published, which changes the weights of the services
+    /// of one.
+    Reroute { route: usize, weights: [u32; 2] },
     /// The settings file of a process changes; with `signal`, SIGHUP follows.
     Settings { node: Node, signal: bool },
 }
@@ -99,6 +105,63 @@
     (millis(rng, 300, FAULT_WINDOW.as_millis() as u64), fault)
 }
 
+/// Draws changes of the services of routes. Around each, processes and backend servers are
+/// restarted, so that some processes have only seen the version after it.
+pub fn draw_reroutes(size: Size, rng: &mut Pcg64Mcg) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(2..=3) {
+        let at = millis(rng, 2_000, FAULT_WINDOW.as_millis() as u64);
+        faults.push((at, draw_reroute(rng)));
+        if rng.random() {
+            // Processes may read both versions at once.
+            faults.push((at + millis(rng, 5, 300), draw_reroute(rng)));
+        }
+        for _ in 0..rng.random_range(1..=3) {
+            let soon = at + millis(rng, 100, RESTART_SPREAD_MS);
+            match rng.random_range(0..6) {
+                0 | 1 => {
+                    let down = millis(rng, 50, 800);
+                    faults.push((soon, Fault::Kill { nodes: all_nodes(size), down }));
+                }
+                2 => {
+                    let nodes = sample_nodes(size, 0.5, rng);
+                    faults.extend(nodes.into_iter().map(|node| (soon, Fault::Stop { node })));
+                }
+                3 => {
+                    let i = rng.random_range(0..size.agents);
+                    faults.push((soon, Fault::Release { i, drain: millis(rng, 3_200, 5_000) }));
+                }
+                _ => faults.extend(draw_new_vms(size, at, rng)),
+            }
+        }
+    }
+    faults
+}
+
+fn draw_reroute(rng: &mut Pcg64Mcg) -> Fault {
+    let all_weights = [[1, 0], [0, 1], [1, 1], [9, 1]];
+    let weights = *all_weights.choose(rng).expect("the list is not empty");
+    Fault::Reroute { route: rng.random_range(0..2), weights }
+}
+
+/// Draws VMs that go down before `at` and come back after it with a new backend server, and
+/// all entries, which forget the owners of flows.
+fn draw_new_vms(size: Size, at: Duration, rng: &mut Pcg64Mcg) -> Vec<(Duration, Fault)> {
+    let before = millis(rng, 200, RESTART_SPREAD_MS);
+    let down = before + millis(rng, 100, RESTART_SPREAD_MS);
+    let mut nodes = sample_nodes(size, 0.3, rng);
+    nodes.retain(|n| !n.entry);
+    let crash = |n: &Node| (at - before, Fault::Crash { i: n.i, silent: false, down });
+    let mut faults: Vec<_> = nodes.iter().map(crash).collect();
+    // The agent starts just after its backend server.
+    let later = down + millis(rng, 20, 60);
+    faults.push((at - before, Fault::Kill { nodes, down: later }));
+    let entries = (0..size.entries).map(|i| Node { entry: true, i }).collect();
+    let restart = Fault::Kill { nodes: entries, down: millis(rng, 50, 500) };
+    faults.push((at + millis(rng, 500, 3_000), restart));
+    faults
+}
+
 fn draw_fault(size: Size, rng: &mut Pcg64Mcg) -> Fault {
     let i = rng.random_range(0..size.agents);
     let span = millis(rng, 500, 4_500);
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -9,7 +9,9 @@
 use lagoonhollow_lib::version::member::Member;
 use lagoonhollow_testutils::packets::live::LiveBackend;
 use lagoonhollow_testutils::packets::monitor::Monitor;
+use lagoonhollow_testutils::packets::site::OWN_SERVICES;
 use lagoonhollow_testutils::packets::site::Site;
+use lagoonhollow_testutils::packets::site::Weights;
 use lagoonhollow_testutils::packets::store::Store;
 use lagoonhollow_testutils::packets::tcp_proxy::TcpProxy;
 use lagoonhollow_testutils::packets::udp_proxy::UdpProxy;
@@ -75,6 +77,8 @@
     pub hosts: Vec<Host>,
     /// Published versions of the routes, with the time of publication.
     pub published: Vec<(u64, Instant)>,
+    /// Weights of the services in the latest version of the routes.
+    pub weights: Weights,
     /// Failure domains that the operator has evacuated.
     pub orders: BTreeSet<Name>,
 }
@@ -118,6 +122,7 @@
             vms,
             hosts: vec![],
             published: vec![],
+            weights: OWN_SERVICES,
             orders: BTreeSet::new(),
         };
         fleet.publish();
@@ -196,14 +201,15 @@
     /// Publishes a later version of the routes.
     pub fn publish(&mut self) {
         let version = self.published.last().map_or(7, |(v, _)| v + 3);
-        self.store.publish(&self.site.routes(version));
         self.published.push((version, Instant::now()));
+        self.republish();
     }
 
     /// Writes the latest published version of the routes again.
     pub fn republish(&self) {
         if let Some((version, _)) = self.published.last() {
-            self.store.publish(&self.site.routes(*version));
+            self.store.publish(&self.site.weighted_routes(*version, self.weights));
+            self.monitor.record_routes(&self.site.shares(self.weights));
         }
     }
 
--- a/daemon/tests/soak/inject.rs
+++ b/daemon/tests/soak/inject.rs
@@ -37,7 +37,11 @@
     let monitor = fleet.borrow().monitor.clone();
     let planned = matches!(
         fault,
-        Fault::Publish | Fault::Release { .. } | Fault::Stop { .. } | Fault::Evacuate { .. }
+        Fault::Publish
+            | Fault::Reroute { .. }
+            | Fault::Release { .. }
+            | Fault::Stop { .. }
+            | Fault::Evacuate { .. }
     );
     if !planned {
         monitor.record_fault();
@@ -82,6 +86,11 @@
         }
         Fault::Evacuate { domain, span } => evacuate(&fleet, domain, span).await,
         Fault::Publish => fleet.borrow_mut().publish(),
+        Fault::Reroute { route, weights } => {
+            let mut fleet = fleet.borrow_mut();
+            fleet.weights[route] = weights;
+            fleet.publish();
+        }
         Fault::Settings { node, signal } => {
             if let Some(daemon) = &fleet.borrow_mut().vm(node).daemon {
                 daemon.edit_settings(|settings| settings.replace("level = debug", "level = info"));
@@ -251,7 +260,9 @@
     store.set_fault(StoreFault::Status(503));
     sleep(span).await;
     store.restore(copy);
-    // The orders of the copy hold until the operator has written the present ones again.
+    // The routes and orders of the copy hold until the operator has written the present ones
+    // again.
+    fleet.borrow().monitor.record_copy();
     fleet.borrow().monitor.record_orders(&[]);
     store.set_fault(StoreFault::None);
     sleep(rand::rng().random_range(Duration::ZERO..REREGISTER_WINDOW)).await;
--- a/daemon/tests/soak/run.rs
+++ b/daemon/tests/soak/run.rs
@@ -21,6 +21,7 @@
 use crate::fault::Node;
 use crate::fault::draw;
 use crate::fault::draw_evacuation;
+use crate::fault::draw_reroutes;
 use crate::fault::draw_restore;
 use crate::fleet::Fleet;
 use crate::fleet::Shared;
@@ -49,6 +50,12 @@
 /// First seed in whose run a failure domain is evacuated and its backend servers return cold.
 pub const FIRST_EVACUATION_SEED: u64 = 400;
 
+/// First seed in whose run routes change their services while callers keep flows open.
+const FIRST_REROUTE_SEED: u64 = 500;
+
+/// Time for which a caller that keeps flows open uses each, without the time of answers.
+const LONG_CALL: Duration = Duration::from_secs(12);
+
 /// Runs one seed, prints the findings and returns their number. With `timed`, time
 /// limits are checked as well.
 pub fn run(seed: u64, number: u8, size: Option<Size>, timed: bool) -> usize {
@@ -62,6 +69,9 @@
     if seed >= FIRST_EVACUATION_SEED {
         faults.push(draw_evacuation(&mut rng));
     }
+    if seed >= FIRST_REROUTE_SEED {
+        faults.extend(draw_reroutes(size, &mut rng));
+    }
     faults.sort_by_key(|(at, _)| *at);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let (findings, ends) = LocalSet::new().block_on(&runtime, async {
@@ -81,7 +91,10 @@
         }
         let stopped = Rc::new(Cell::new(false));
         let callers: Vec<_> = (0..CALLERS)
-            .map(|i| spawn_local(run_caller(fleet.clone(), i, rng.random(), stopped.clone())))
+            .map(|i| {
+                let long = seed >= FIRST_REROUTE_SEED && i % 2 == 1;
+                spawn_local(run_caller(fleet.clone(), i, rng.random(), long, stopped.clone()))
+            })
             .collect();
         let start = Instant::now();
         let running: Vec<_> = faults
@@ -167,14 +180,24 @@
     }
 }
 
-/// Places calls until `stopped` is set; returns how they ended.
-async fn run_caller(fleet: Shared, i: u8, seed: u64, stopped: Rc<Cell<bool>>) -> Vec<End> {
+/// Places calls until `stopped` is set, with `long` those that keep their flows open; returns
+/// how they ended.
+async fn run_caller(
+    fleet: Shared,
+    i: u8,
+    seed: u64,
+    long: bool,
+    stopped: Rc<Cell<bool>>,
+) -> Vec<End> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut ends = Vec::new();
     let mut port = 1_024;
     while !stopped.get() {
         port += 1;
-        let plan = call_plan(if rng.random_bool(0.6) { 1 } else { rng.random_range(3..=10) });
+        let plan = match long {
+            true => long_plan(Duration::from_millis(rng.random_range(200..4_000))),
+            false => call_plan(if rng.random_bool(0.6) { 1 } else { rng.random_range(3..=10) }),
+        };
         let service = usize::from(rng.random_bool(0.3));
         ends.push(place_call(&fleet, service, i, port, plan).await);
         sleep(Duration::from_millis(rng.random_range(20..150))).await;
@@ -191,6 +214,12 @@
     }
 }
 
+/// Returns the plan of a call that outlives changes of its route.
+fn long_plan(pause: Duration) -> Plan {
+    let requests = 1 + LONG_CALL.div_duration_f32(pause) as u32;
+    Plan { pause, deadline: Duration::from_secs(8), ..call_plan(requests) }
+}
+
 async fn place_call(fleet: &Shared, service: usize, i: u8, port: u16, plan: Plan) -> End {
     let (site, monitor) = (fleet.borrow().site, fleet.borrow().monitor.clone());
     let flow = site.flow_to(service, i, port);
--- a/testutils/src/packets/monitor.rs
+++ b/testutils/src/packets/monitor.rs
@@ -20,6 +20,9 @@
 
 /// Time after which a leaving backend server must get no new flows.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
+/// Time after a version that takes a service from a route within which flows may still open
+/// there: 3 s until it is in force, and the copies of an opening packet.
+const ROUTES_BOUND: Duration = Duration::from_secs(4);
 /// Time after the last fault from which on time bounds must hold.
 const STABLE: Duration = Duration::from_secs(4);
 
@@ -34,7 +37,9 @@
 #[derive(Debug, Default)]
 struct State {
     checks: Checks,
-    services: HashMap<SocketAddr, Name>,
+    // Services to which a version sent flows of an address, each with the time since when
+    // none does any more.
+    services: HashMap<(SocketAddr, Name), Option<Moment>>,
     // Backend server that holds each open flow.
     owners: HashMap<FlowKey, Name>,
     // Backend server that ran each request, by flow and sequence number.
@@ -47,6 +52,7 @@
     /// Opens a monitor for `services`, given by address. With `timed`, time bounds
     /// are checked as well, which gives false violations on an overloaded machine.
     pub fn open(services: HashMap<SocketAddr, Name>, timed: bool) -> Self {
+        let services = services.into_iter().map(|share| (share, None)).collect();
         let state = State { services, ..State::default() };
         Self { state: Arc::new(Mutex::new(state)), start: Instant::now(), timed }
     }
@@ -78,6 +84,23 @@
         self.lock().leaving.insert(member.name.clone(), now);
     }
 
+    /// Records to which services the routes send flows from now on, by address.
+    pub fn record_routes(&self, shares: &[(SocketAddr, Name)]) {
+        let now = self.now();
+        let mut state = self.lock();
+        for (share, left) in &mut state.services {
+            *left = if shares.contains(share) { None } else { left.or(Some(now)) };
+        }
+        for share in shares {
+            state.services.entry(share.clone()).or_insert(None);
+        }
+    }
+
+    /// Records that the routes of any earlier version may be in force again.
+    pub fn record_copy(&self) {
+        self.lock().services.values_mut().for_each(|left| *left = None);
+    }
+
     /// Records that exactly these failure domains are evacuated from now on.
     pub fn record_orders(&self, domains: &[Name]) {
         let now = self.now();
@@ -109,8 +132,19 @@
         let mut state = self.lock();
         let Segment { flow, .. } = *segment;
         if segment.is_opening() {
-            if state.services.get(&flow.service) != Some(&member.service) {
-                let problem = format!("{flow:?} was opened at {}, {}", member.name, member.service);
+            let share = (flow.service, member.service.clone());
+            let problem = match state.services.get(&share) {
+                None => Some(format!("{flow:?} was opened at {}, {}", member.name, member.service)),
+                Some(Some(left)) if self.timed && stable && now.since(*left) > ROUTES_BOUND => {
+                    let Member { name, service, .. } = member;
+                    let ago = now.since(*left);
+                    Some(format!(
+                        "{flow:?} was opened at {name}, {service}, which its route left {ago:?} ago"
+                    ))
+                }
+                Some(_) => None,
+            };
+            if let Some(problem) = problem {
                 state.checks.report(now, problem);
             }
             if self.timed && stable {
--- a/testutils/src/packets/site.rs
+++ b/testutils/src/packets/site.rs
@@ -21,6 +21,11 @@
 const CALLER_PORT: u16 = 8_172;
 /// Services with the IP addresses of their routes.
 const SERVICES: [(&str, [u8; 4]); 2] = [("alarm", [198, 18, 0, 1]), ("firmware", [198, 18, 0, 2])];
+/// Weights of the services in the routes, by route and service; 0 leaves a service out.
+pub type Weights = [[u32; SERVICES.len()]; SERVICES.len()];
+/// Weights with which each route sends flows to its own service only.
+pub const OWN_SERVICES: Weights = [[1, 0], [0, 1]];
+
 /// First address of further routes.
 const FURTHER_ROUTES: Ipv4Addr = Ipv4Addr::new(198, 19, 0, 0);
 /// Port of all routes.
@@ -101,6 +106,15 @@
         SERVICES.map(service).into()
     }
 
+    /// Returns the services to which routes with these weights send flows, each with the
+    /// address of its route.
+    pub fn shares(self, weights: Weights) -> Vec<(SocketAddr, Name)> {
+        let address = |route: usize| SocketAddr::from((SERVICES[route].1, ROUTE_PORT));
+        let share = |route: usize, (name, _): (&str, u32)| (address(route), name.into());
+        let routes = weights.into_iter().enumerate();
+        routes.flat_map(|(i, w)| sent_to(w).map(move |s| share(i, s))).collect()
+    }
+
     /// Returns the address at which an entry receives packets from callers.
     pub fn entry(self, i: u8) -> SocketAddr {
         self.address(ENTRY_OCTET, i + 1, CALLER_PORT)
@@ -186,6 +200,24 @@
         self.many_routes(version, 0)
     }
 
+    /// Returns a version of the routes whose services have these weights.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a route has no service.
+    pub fn weighted_routes(self, version: u64, weights: Weights) -> Vec<u8> {
+        let routes = SERVICES.into_iter().zip(weights).map(|((name, ip), weights)| {
+            let shares: Vec<_> = sent_to(weights).collect();
+            let mut route = self.route(&format!("to-{name}"), ip.into(), shares[0].0);
+            if shares.len() > 1 {
+                let share = |(s, w): &(&str, u32)| json!({ "service": s, "weight": w });
+                route["traffic_split"] = shares.iter().map(share).collect();
+            }
+            route
+        });
+        self.document(version, routes.collect())
+    }
+
     /// Returns a version of the routes with `count` further ones to the first service.
     pub fn many_routes(self, version: u64, count: u32) -> Vec<u8> {
         let further = (0..count).map(|i| {
@@ -261,3 +293,9 @@
         SocketAddr::from(([127, self.number, octet, host], port))
     }
 }
+
+/// Returns the services that are not left out, with their weights.
+fn sent_to(weights: [u32; SERVICES.len()]) -> impl Iterator<Item = (&'static str, u32)> {
+    let names = SERVICES.into_iter().map(|(name, _)| name);
+    names.zip(weights).filter(|(_, weight)| *weight > 0)
+}
