--- a/testutils/src/packets/live.rs
+++ b/testutils/src/packets/live.rs
@@ -31,8 +31,8 @@
 
 /// Size of the receive buffer in bytes; no packet is longer.
 const MAX_PACKET: usize = 2_048;
-/// Longest wait for an address that is still in use.
-const BIND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of times that an address which is still in use is tried again.
+const BIND_RETRIES: u32 = 1_000;
 /// Delay before an address in use is tried again.
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(1);
 
@@ -169,15 +169,13 @@
 /// Binds an address whose earlier socket is closed. A process that another test starts at
 /// that moment holds a copy of the socket until it runs its program.
 async fn bind_free(address: SocketAddr) -> std::io::Result<UdpSocket> {
-    let end = Instant::now() + BIND_TIMEOUT;
-    loop {
+    for _ in 0..BIND_RETRIES {
         match UdpSocket::bind(address).await {
-            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < end => {
-                sleep(BIND_RETRY_DELAY).await;
-            }
+            Err(e) if e.kind() == ErrorKind::AddrInUse => sleep(BIND_RETRY_DELAY).await,
             result => return result,
         }
     }
+    UdpSocket::bind(address).await
 }
 
 /// Runs one call from a new socket at `local`; returns how it ended and the latency of
--- a/testutils/src/packets/site.rs
+++ b/testutils/src/packets/site.rs
@@ -25,7 +25,6 @@
 pub type Weights = [[u32; SERVICES.len()]; SERVICES.len()];
 /// Weights with which each route sends flows to its own service only.
 pub const OWN_SERVICES: Weights = [[1, 0], [0, 1]];
-
 /// First address of further routes.
 const FURTHER_ROUTES: Ipv4Addr = Ipv4Addr::new(198, 19, 0, 0);
 /// Port of all routes.
