Open new flows in the soak until those that were kept open have ended

The check of flows at services that a route has left holds only once faults are 4 s over, and by then all callers had stopped.

--- a/daemon/tests/soak/run.rs
+++ b/daemon/tests/soak/run.rs
@@ -89,13 +89,14 @@
                 spawn_local(probe_readiness(fleet.clone(), *node));
             }
         }
-        let stopped = Rc::new(Cell::new(false));
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|i| {
-                let long = seed >= FIRST_REROUTE_SEED && i % 2 == 1;
-                spawn_local(run_caller(fleet.clone(), i, rng.random(), long, stopped.clone()))
-            })
-            .collect();
+        let stopped: [Rc<Cell<bool>>; 2] = Default::default();
+        let mut callers = [Vec::new(), Vec::new()];
+        for i in 0..CALLERS {
+            let long = seed >= FIRST_REROUTE_SEED && i % 2 == 1;
+            let stopped = stopped[usize::from(long)].clone();
+            let caller = run_caller(fleet.clone(), i, rng.random(), long, stopped);
+            callers[usize::from(long)].push(spawn_local(caller));
+        }
         let start = Instant::now();
         let running: Vec<_> = faults
             .iter()
@@ -116,11 +117,14 @@
             fleet.borrow_mut().start(*node);
         }
         wait_until_recovered(&fleet, &nodes, timed).await;
-        stopped.set(true);
         let mut ends = BTreeMap::new();
-        for caller in callers {
-            for end in caller.await.expect("the caller does not panic") {
-                *ends.entry(format!("{end:?}")).or_insert(0u32) += 1;
+        // While flows that were kept open end, new ones are still opened.
+        for (callers, stopped) in callers.into_iter().zip(&stopped).rev() {
+            stopped.set(true);
+            for caller in callers {
+                for end in caller.await.expect("the caller does not panic") {
+                    *ends.entry(format!("{end:?}")).or_insert(0u32) += 1;
+                }
             }
         }
         println!("seed {seed}: {size:?}, {:.1?}, {ends:?}", start.elapsed());
