--- a/daemon/tests/common/daemon.rs
+++ b/daemon/tests/common/daemon.rs
@@ -76,10 +76,13 @@
         serde_json::from_str(&self.get(path)?).ok()
     }
 
-    /// Replaces the text of the settings file by what `change` returns for it.
+    /// Replaces the text of the settings file by what `change` returns for it. A process that
+    /// starts meanwhile reads the one or the other.
     pub fn edit_settings(&self, change: impl Fn(&str) -> String) {
         let text = std::fs::read_to_string(&self.settings).expect("the settings can be read");
-        std::fs::write(&self.settings, change(&text)).expect("the settings can be written");
+        let new = self.settings.with_extension("new");
+        std::fs::write(&new, change(&text)).expect("the settings can be written");
+        std::fs::rename(&new, &self.settings).expect("the settings can be replaced");
     }
 
     /// Returns the exit code if the process has ended; the negated number of the signal
