Look for the end of a run also among backend servers of unlisted services

A search left out the agent of such a backend server if any run at its address was known to have ended, also an earlier one. The roster is built anew with each version of the routes, since which services are known follows from the routes as well.

--- a/daemon/src/version/packet/knowledge.rs
+++ b/daemon/src/version/packet/knowledge.rs
@@ -95,7 +95,8 @@
         if published.version <= old.version() {
             return false;
         }
-        self.lock().changed |= published.services != old.published().services;
+        // Which services are known follows from the services and from the routes.
+        self.lock().changed = true;
         let routes = Arc::new(Routes::open(published).enforce(&old));
         self.lock().history.add(routes.clone());
         self.view.send_modify(|view| view.routes = routes);
--- a/lib/src/front/packet/home/candidates.rs
+++ b/lib/src/front/packet/home/candidates.rs
@@ -89,5 +89,8 @@
 
 /// Returns whether the backend server of the agent at `link` has ended, as that agent said.
 fn has_ended(context: &AgentContext, neighbours: &Neighbours, link: SocketAddr) -> bool {
-    neighbours.has_ended(link, context.view.roster.on_vm(link.ip()).map(|m| &**m))
+    let roster = &context.view.roster;
+    let unlisted = || roster.unlisted().iter().find(|m| m.address.ip() == link.ip());
+    let member = roster.on_vm(link.ip()).or_else(unlisted);
+    neighbours.has_ended(link, member.map(|m| &**m))
 }
