Read the registered backend servers as soon as the limit allows if a flow waits for it

A flow whose search ended while no read was allowed waited for the next regular confirmation. The wish for a read is kept until it is done.

--- a/lib/src/front/packet/home/resolution.rs
+++ b/lib/src/front/packet/home/resolution.rs
@@ -62,11 +62,12 @@
         if knows_all(context, unresolved.opened, now) {
             self.resolve(context, backend, neighbours, flow, &candidates, now);
         } else if !unresolved.is_blocked(&candidates) {
+            self.confirms.want();
             self.confirm(context, now);
         }
     }
 
-    /// Asks for a read of the registered backend servers, if one is allowed now.
+    /// Asks for a read of the registered backend servers, if one is wanted and allowed now.
     fn confirm(&mut self, context: &mut AgentContext, now: Moment) {
         if self.confirms.take(context.view.roster.members().len(), now) {
             context.act(Action::Confirm);
@@ -130,6 +131,7 @@
         neighbours: &Neighbours,
         now: Moment,
     ) {
+        self.confirm(context, now);
         for (flow, search) in self.searches.expire(now) {
             match search {
                 SearchState::Asking(search) => {
@@ -168,6 +170,7 @@
         }
         let blocked = unresolved.is_blocked(&candidates);
         if !known && !blocked {
+            self.confirms.want();
             self.confirm(context, now);
         }
         let reason = if known || blocked { Reason::OwnerUnknown } else { Reason::Unconfirmed };
--- a/lib/src/process/confirm_limit.rs
+++ b/lib/src/process/confirm_limit.rs
@@ -16,17 +16,24 @@
 /// gone only by what is registered now, and the source bears some thousand reads a second.
 #[derive(Debug, Default)]
 pub struct ConfirmLimit {
+    wanted: bool,
     next: Moment,
 }
 
 impl ConfirmLimit {
-    /// Returns whether a read is allowed now in a fleet of `members` backend servers; it counts
-    /// as done then.
+    /// Asks for a read.
+    pub fn want(&mut self) {
+        self.wanted = true;
+    }
+
+    /// Returns whether a read that was asked for is allowed now in a fleet of `members` backend
+    /// servers; it counts as done then.
     pub fn take(&mut self, members: usize, now: Moment) -> bool {
-        if now < self.next {
-            return false;
+        let allowed = self.wanted && now >= self.next;
+        if allowed {
+            self.wanted = false;
+            self.next = now + MIN_INTERVAL.max(MEMBER_INTERVAL * members as u32);
         }
-        self.next = now + MIN_INTERVAL.max(MEMBER_INTERVAL * members as u32);
-        true
+        allowed
     }
 }
