--- a/lib/src/front/packet/home/candidates.rs
+++ b/lib/src/front/packet/home/candidates.rs
@@ -11,8 +11,9 @@
 use crate::process::neighbours::Neighbours;
 use crate::value::moment::Moment;
 
-/// Returns the services whose backend servers probably own a flow. Others may as well: the
-/// process may never have seen the version under which the flow was opened.
+/// Returns the services whose backend servers probably own a flow: those of its route, or this
+/// agent's own if it knows none. Others may as well: the process may never have seen the version
+/// under which the flow was opened.
 pub(super) fn likely_services(
     context: &AgentContext,
     backend: &LocalBackend,
@@ -89,5 +90,8 @@
 
 /// Returns whether the backend server of the agent at `link` has ended, as that agent said.
 fn has_ended(context: &AgentContext, neighbours: &Neighbours, link: SocketAddr) -> bool {
-    neighbours.has_ended(link, context.view.roster.on_vm(link.ip()).map(|m| &**m))
+    let roster = &context.view.roster;
+    let unlisted = || roster.unlisted().iter().find(|m| m.address.ip() == link.ip());
+    let member = roster.on_vm(link.ip()).or_else(unlisted);
+    neighbours.has_ended(link, member.map(|m| &**m))
 }
--- a/lib/src/front/packet/home/resolution.rs
+++ b/lib/src/front/packet/home/resolution.rs
@@ -13,6 +13,7 @@
 use super::candidates::candidates;
 use super::candidates::knows_all;
 use super::candidates::scope;
+use super::search::send_probes;
 use crate::connection::flow::FlowKey;
 use crate::connection::scope::Reach;
 use crate::connection::search::Search;
@@ -61,11 +62,12 @@
         if knows_all(context, unresolved.opened, now) {
             self.resolve(context, backend, neighbours, flow, &candidates, now);
         } else if !unresolved.is_blocked(&candidates) {
+            self.confirms.want();
             self.confirm(context, now);
         }
     }
 
-    /// Asks for a read of the registered backend servers, if one is allowed now.
+    /// Asks for a read of the registered backend servers, if one is wanted and allowed now.
     fn confirm(&mut self, context: &mut AgentContext, now: Moment) {
         if self.confirms.take(context.view.roster.members().len(), now) {
             context.act(Action::Confirm);
@@ -129,12 +131,18 @@
         neighbours: &Neighbours,
         now: Moment,
     ) {
+        self.confirm(context, now);
         for (flow, search) in self.searches.expire(now) {
             match search {
                 SearchState::Asking(search) => {
                     self.widen(context, backend, neighbours, search, now);
                 }
                 search => {
+                    // The owner is among those that neither returned nor answered the packet,
+                    // and must have the last copy.
+                    if let SearchState::Probing(probing) = &search {
+                        send_probes(context, backend, probing, now);
+                    }
                     self.conclude(context, backend, neighbours, flow, search, now);
                     self.review_flow(context, backend, neighbours, &flow, now);
                 }
@@ -162,6 +170,7 @@
         }
         let blocked = unresolved.is_blocked(&candidates);
         if !known && !blocked {
+            self.confirms.want();
             self.confirm(context, now);
         }
         let reason = if known || blocked { Reason::OwnerUnknown } else { Reason::Unconfirmed };
