--- a/review/standins-2/src/backend.rs
+++ b/review/standins-2/src/backend.rs
@@ -80,7 +80,6 @@
     stop: Arc<AtomicBool>,
     beating: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
-    closed: Arc<AtomicBool>,
     store: Store,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -94,7 +93,6 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (beating, draining) = (Arc::new(AtomicBool::new(true)), Arc::default());
         let runs = Arc::new(Mutex::new(Vec::new()));
-        let closed = Arc::new(AtomicBool::new(false));
         record.line(&format!("backend {} starts at {} born {}", plan.id, plan.app, plan.born));
         let mut threads = Vec::new();
         {
@@ -106,11 +104,11 @@
             }));
         }
         {
-            let (stop, closed) = (stop.clone(), closed.clone());
-            threads.push(thread::spawn(move || accept(health, &stop, &closed)));
+            let stop = stop.clone();
+            threads.push(thread::spawn(move || accept(health, &stop)));
         }
         let store = store.clone();
-        let backend = Self { plan, runs, stop, beating, draining, closed, store, threads };
+        let backend = Self { plan, runs, stop, beating, draining, store, threads };
         backend.spawn_heartbeats();
         backend
     }
@@ -139,11 +137,6 @@
         write_entry(&self.plan, &self.store, true, Instant::now() - WARM_UP);
     }
 
-    /// Closes the health port, as a server that leaves does; its flows stay.
-    pub fn close_health(&self) {
-        self.closed.store(true, SeqCst);
-    }
-
     /// Ends it; its flows and requests are lost. Its entry stays until it lapses.
     pub fn crash(mut self) -> Vec<Run> {
         self.stop.store(true, SeqCst);
@@ -174,9 +167,9 @@
     store.renew(&format!("servers/{}", plan.id), &value);
 }
 
-fn accept(health: TcpListener, stop: &AtomicBool, closed: &AtomicBool) {
+fn accept(health: TcpListener, stop: &AtomicBool) {
     let mut open: Vec<(TcpStream, Instant)> = Vec::new();
-    while !stop.load(SeqCst) && !closed.load(SeqCst) {
+    while !stop.load(SeqCst) {
         if let Ok((stream, _)) = health.accept() {
             open.push((stream, Instant::now()));
         }
--- a/review/standins-2/src/flow.rs
+++ b/review/standins-2/src/flow.rs
@@ -9,13 +9,7 @@
 const IDLE_S: f64 = 12.0;
 
 /// Counts the flows of the backend that the system reset while the backend lived.
-pub fn reset_flows(
-    seen: &[Seen],
-    runs: &[Run],
-    drained: f64,
-    ended: f64,
-    record: &Record,
-) -> usize {
+pub fn reset_flows(seen: &[Seen], runs: &[Run], event: f64, ended: f64, record: &Record) -> usize {
     let mut count = 0;
     for reset in seen.iter().flat_map(|s| &s.resets) {
         let prefix = format!("{}-{}-", reset.name, reset.port);
@@ -25,11 +19,11 @@
         if counts {
             count += 1;
             record.line(&format!(
-                "VIOLATION FLOW port {} of {} was reset {:.3} s after the backend drained, age \
+                "VIOLATION FLOW port {} of {} was reset {:.3} s after the event, age \
                  {age:.1} s, idle {idle:.1} s; the backend held it",
                 reset.port,
                 reset.name,
-                reset.at - drained
+                reset.at - event
             ));
         }
     }
