--- a/review/standins-2/src/backend.rs
+++ b/review/standins-2/src/backend.rs
@@ -28,6 +28,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time for which a backend that has just started is slow.
 const WARM_UP: Duration = Duration::from_millis(2_000);
+/// How many times as long its work takes then.
+const COLD: f64 = 1.6;
 /// Time after which the HTTP server at the health port closes an idle connection.
 const IDLE_CLOSE: Duration = Duration::from_secs(12);
 
@@ -64,6 +66,8 @@
     acked: u32,
     fin: bool,
     client_fin: bool,
+    // Data packets since the last acknowledgement.
+    unacked: u32,
     pending: Option<(Packet, Instant, Duration, u32)>,
 }
 
@@ -191,6 +195,7 @@
     let mut flows: HashMap<Flow, Held> = HashMap::new();
     let mut queue: VecDeque<Job> = VecDeque::new();
     let mut buffer = [0; 2_048];
+    let started = Instant::now();
     let send = |p: &Packet| {
         let _ = socket.send_to(&packet::encode(p, false), plan.outbound);
     };
@@ -208,7 +213,8 @@
         }
         let now = Instant::now();
         for job in queue.iter_mut().take(plan.slots).filter(|j| j.end.is_none()) {
-            job.end = Some(now + job.work);
+            let factor = if started.elapsed() < WARM_UP { COLD } else { 1.0 };
+            job.end = Some(now + job.work.mul_f64(factor));
         }
         while let Some(i) = queue.iter().position(|j| j.end.is_some_and(|end| end <= now)) {
             let Some(job) = queue.remove(i) else { break };
@@ -226,6 +232,7 @@
             let p = Packet { flow: job.flow, flags, seq, ack: held.next, data };
             held.sent = seq.wrapping_add(length).wrapping_add(u32::from(last));
             held.fin |= last;
+            held.unacked = 0;
             send(&p);
             held.pending = Some((p, now, Duration::from_millis(200), 0));
         }
@@ -273,6 +280,7 @@
                 acked: isn,
                 fin: false,
                 client_fin: false,
+                unacked: 0,
                 pending: None,
             };
             record.line(&format!("{} takes the opening of port {}", plan.id, p.flow.client.1));
@@ -311,7 +319,8 @@
         data: Vec::new(),
     };
     if !p.data.is_empty() {
-        if p.seq == held.next {
+        let fresh = p.seq == held.next;
+        if fresh {
             held.next = p.seq.wrapping_add(p.data.len() as u32);
             let text = String::from_utf8_lossy(&p.data);
             let find = |name: &str| {
@@ -331,7 +340,12 @@
             });
             record.line(&format!("{} runs {id}", plan.id));
         }
-        send(&ack(held));
+        // Every second packet is acknowledged, and each that was sent again.
+        held.unacked += if fresh { 1 } else { 2 };
+        if held.unacked >= 2 {
+            held.unacked = 0;
+            send(&ack(held));
+        }
     }
     if p.has(FIN) && p.seq.wrapping_add(p.data.len() as u32) == held.next && !held.client_fin {
         held.client_fin = true;
--- a/review/standins-2/src/bin/clock-back.rs
+++ b/review/standins-2/src/bin/clock-back.rs
@@ -38,7 +38,7 @@
     pause: Duration::from_millis(11_600),
     work: Duration::from_millis(26),
     deadline: Duration::from_millis(1_000),
-    every: Duration::from_millis(400),
+    every: Duration::from_millis(200),
 };
 
 fn main() {
--- a/review/standins-2/src/bin/later-start.rs
+++ b/review/standins-2/src/bin/later-start.rs
@@ -72,7 +72,7 @@
         record.line("all processes of the system are killed");
         let agents: Vec<_> = (0..AGENTS).map(|i| format!("agent-{i}")).collect();
         let entries: Vec<_> = (0..ENTRIES).map(|i| format!("entry-{i}")).collect();
-        agents.iter().chain(&entries).for_each(|name| fleet.site.signal(name, "KILL"));
+        agents.iter().chain(&entries).for_each(|name| fleet.site.kill(name));
         agents.iter().chain(&entries).for_each(|name| fleet.site.wait(name));
         until(START_MS);
         (0..AGENTS).for_each(|i| fleet.site.start_agent(i, site::SERVICE, false));
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -217,7 +217,8 @@
                     if p.data.is_empty() && !p.has(FIN) {
                         continue;
                     }
-                    if p.seq == open.next {
+                    let fresh = p.seq == open.next;
+                    if fresh {
                         open.next = p.seq.wrapping_add(p.data.len() as u32);
                         open.body.extend_from_slice(&p.data);
                         if p.has(FIN) {
@@ -225,7 +226,6 @@
                             open.left = 0;
                         }
                     }
-                    send(&ack_of(&p.flow, open));
                     let whole = open.request.as_ref().is_some_and(|r| {
                         let text = String::from_utf8_lossy(&open.body);
                         is_whole(&text) && {
@@ -235,6 +235,9 @@
                             true
                         }
                     });
+                    if whole || !fresh {
+                        send(&ack_of(&p.flow, open));
+                    }
                     if whole {
                         open.body.clear();
                         finish(open, &mut sent, record, name, End::Answered, p.flow.client.1);
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -14,6 +14,9 @@
 use crate::store::Store;
 use crate::unix_ms;
 
+/// Traffic starts this time after the machines do.
+const LEAD: Duration = Duration::from_secs(10);
+
 pub struct Fleet {
     pub site: Site,
     pub store: Store,
@@ -43,6 +46,7 @@
             let backend = (!without.contains(&i)).then(start);
             fleet.backends.push(backend);
         }
+        let started = Instant::now();
         (0..agents).for_each(|i| fleet.site.start_agent(i, site::SERVICE, true));
         (0..entries).for_each(|i| fleet.site.start_entry(i, true));
         let begun = Instant::now();
@@ -56,6 +60,7 @@
             sleep(Duration::from_millis(100));
         }
         record.line("all nodes are ready");
+        sleep(LEAD.saturating_sub(started.elapsed()));
         Some(fleet)
     }
 
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -177,15 +177,11 @@
         }
     }
 
-    /// Sends a signal to a process that this site started.
-    pub fn signal(&self, name: &str, signal: &str) {
-        let id = self.nodes[name].id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
-    }
-
-    /// Returns whether a process has ended by itself.
-    pub fn has_ended(&mut self, name: &str) -> bool {
-        self.nodes.get_mut(name).is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
+    /// Kills a process that this site started.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(child) = self.nodes.get_mut(name) {
+            let _ = child.kill();
+        }
     }
 
     pub fn wait(&mut self, name: &str) {
@@ -193,10 +189,6 @@
             let _ = child.wait();
         }
     }
-
-    pub fn pid(&self, name: &str) -> u32 {
-        self.nodes[name].id()
-    }
 }
 
 impl Drop for Site {
