--- a/review/standins-2/src/bin/config-storm.rs
+++ b/review/standins-2/src/bin/config-storm.rs
@@ -46,7 +46,7 @@
 
 fn text(version: u64, routes: u32, last: Option<(Ipv4Addr, u16)>) -> String {
     let names: Vec<_> = (0..routes).map(|i| format!("r-{:07x}", i * 37 + 0x0a3_b771)).collect();
-    let address = |i: u32| (Ipv4Addr::new(198, 18, 4 + (i / 200) as u8, (i % 200) as u8), 8_443);
+    let address = |i: u32| (Ipv4Addr::new(127, 18, 4 + (i / 200) as u8, (i % 200) as u8), 8_443);
     let idle =
         names.iter().enumerate().map(|(i, n)| (n.as_str(), address(i as u32), site::SERVICE));
     let own = [("report", site::ROUTE, site::SERVICE)];
@@ -80,7 +80,7 @@
         sleep(Duration::from_millis(400));
     }
     let away = Instant::now();
-    let newest = (Ipv4Addr::new(198, 18, 1, 77), 443);
+    let newest = (Ipv4Addr::new(127, 18, 1, 77), 443);
     for i in 0..CHANGES {
         let due = away + GAP * i as u32;
         sleep(due.saturating_duration_since(Instant::now()));
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -13,7 +13,7 @@
 use std::process::Stdio;
 
 pub const SERVICE: &str = "core-a";
-pub const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 443);
+pub const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 1), 443);
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 /// Addresses, ports and the temporary folder of one run.
