--- a/review/standins-2/src/backend.rs
+++ b/review/standins-2/src/backend.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 use std::time::Duration;
@@ -84,6 +85,8 @@
     stop: Arc<AtomicBool>,
     beating: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
+    // Number of its writes to the store.
+    written: Arc<AtomicU64>,
     store: Store,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -112,20 +115,23 @@
             threads.push(thread::spawn(move || accept(health, &stop)));
         }
         let store = store.clone();
-        let backend = Self { plan, runs, stop, beating, draining, store, threads };
+        let backend =
+            Self { plan, runs, stop, beating, draining, written: Arc::default(), store, threads };
         backend.spawn_heartbeats();
         backend
     }
 
     fn spawn_heartbeats(&self) {
         let (stop, beating) = (self.stop.clone(), self.beating.clone());
+        let written = self.written.clone();
         let (plan, store, draining) =
             (self.plan.clone(), self.store.clone(), self.draining.clone());
         thread::spawn(move || {
             let start = Instant::now();
             while !stop.load(SeqCst) {
                 if beating.load(SeqCst) {
-                    write_entry(&plan, &store, draining.load(SeqCst), start);
+                    let sequence = written.fetch_add(1, SeqCst) + 1;
+                    write_entry(&plan, &store, draining.load(SeqCst), start, sequence);
                 }
                 let due = Instant::now() + HEARTBEAT;
                 while Instant::now() < due && !stop.load(SeqCst) {
@@ -138,7 +144,8 @@
     /// Reports that it drains; returns once the store has accepted that.
     pub fn drain(&self) {
         self.draining.store(true, SeqCst);
-        write_entry(&self.plan, &self.store, true, Instant::now() - WARM_UP);
+        let sequence = self.written.fetch_add(1, SeqCst) + 1;
+        write_entry(&self.plan, &self.store, true, Instant::now() - WARM_UP, sequence);
     }
 
     /// Ends it; its flows and requests are lost. Its entry stays until it lapses.
@@ -159,13 +166,13 @@
     }
 }
 
-fn write_entry(plan: &Plan, store: &Store, draining: bool, start: Instant) {
+fn write_entry(plan: &Plan, store: &Store, draining: bool, start: Instant, sequence: u64) {
     let state = if draining { "draining" } else { "ready" };
     let cold = WARM_UP.saturating_sub(start.elapsed()).as_millis();
     let value = format!(
         "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
          \"max_concurrency\":{},\"state\":\"{state}\",\"warmup_left_ms\":{cold},\
-         \"sequence\":1,\"born\":{}}}",
+         \"born\":{},\"sequence\":{sequence}}}",
         plan.service, plan.app, plan.zone, plan.slots, plan.born
     );
     store.renew(&format!("servers/{}", plan.id), &value);
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -234,10 +234,12 @@
 
 /// Returns a configuration with one route for each of `routes`: name, address, service.
 pub fn config(version: u64, routes: &[(&str, (Ipv4Addr, u16), &str)], services: &[&str]) -> String {
+    // New versions change time-outs.
+    let timeout = 1_200 + version % 10;
     let route = |(name, (ip, port), service): &(&str, (Ipv4Addr, u16), &str)| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{ip}\",\"prefix\":\"/{port}/\",\
-             \"service\":\"{service}\",\"type\":\"unsafe\",\"timeout_ms\":1200,\
+             \"service\":\"{service}\",\"type\":\"unsafe\",\"timeout_ms\":{timeout},\
              \"target_latency_ms\":200,\"max_attempts\":1,\"priority\":1}}"
         )
     };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -92,11 +92,12 @@
         self.write(key, value, None)
     }
 
-    /// Writes the entry of a backend, which lapses unless it is written again. The entry changes
-    /// only if `value` differs from what it holds.
+    /// Writes the entry of a backend, which lapses unless it is written again. `value` has the
+    /// field `sequence` last; the entry changes only if more than that does.
     pub fn renew(&self, key: &str, value: &str) -> u64 {
+        let own = |text: &str| text.split(",\"sequence\":").next().map(str::to_owned);
         let mut data = self.data.0.lock().unwrap();
-        if let Some(item) = data.items.get_mut(key).filter(|i| i.value == value) {
+        if let Some(item) = data.items.get_mut(key).filter(|i| own(&i.value) == own(value)) {
             item.renewed = Some(Instant::now());
             return item.revision;
         }
